A request goes from caller to engine and back through router and sidecar

The thin whole path: lists on the log, budgets by grants on the log, intents for non-idempotent calls, stand-ins for the platform and the upstreams. Tried by hand: whole and streamed chat, a repeated booking with one effect, the list of models, an unknown key. Seen: the first request after a start is refused, because a home waits one second for the end of an empty stream.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Everything that a fresh machine needs is installed by these targets.
+MODULES := kernel link router sidecar kingcuprun standin bench
+PROGRAMS := router sidecar kingcuprun standin bench
+LINT_VERSION := v2.12.0
+LINT := $(CURDIR)/bin/golangci-lint-$(LINT_VERSION)
+
+.PHONY: build demo test lint proof measure generate
+
+build:
+	@mkdir -p build
+	@for p in $(PROGRAMS); do (cd $$p && go build -o ../build/$$p .) || exit 1; done
+
+demo: build
+	@./build/bench demo --settings deploy/demo.jsonc --programs build --lists deploy
+
+test: lint
+	@for m in $(MODULES); do echo "== $$m"; (cd $$m && go test -race ./...) || exit 1; done
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
+
+$(LINT):
+	@mkdir -p bin
+	@echo "installing the linter"
+	@GOWORK=off GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@mv bin/golangci-lint $(LINT)
+
+proof: build
+	@./build/bench proof
+
+measure: build
+	@./build/bench measure
+
+# Needs protoc; the generated code is committed.
+generate:
+	@mkdir -p bin
+	@cd tools && GOWORK=off go build -o ../bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	@cd kernel && PATH=$(CURDIR)/bin:$$PATH protoc --go_out=. --go_opt=paths=source_relative kcrentry/entry.proto
+	@cd link && PATH=$(CURDIR)/bin:$$PATH protoc --go_out=. --go_opt=paths=source_relative kcrwire/wire.proto
--- /dev/null
+++ b/kernel/kcrbudget/home.go
@@ -0,0 +1,626 @@
+package kcrbudget
+
+import (
+	"math"
+	"sync"
+
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
+// This file defines the home of a bucket: a holder that gives reservations on
+// its grants to sidecars and remembers which call runs where. Any process may
+// be a home of any bucket at any time; rendezvous hashing makes it one per
+// region, which keeps escrow together. Invariants: reservations and spending
+// never exceed the grant that the ledger shows; a reservation goes only to a
+// sidecar that the ledger shows as open, since a recovery asks just those.
+
+// Code is the answer to a request for a reservation.
+type Code int
+
+// The answers. Pending means: ask again after the next Apply or Tick.
+const (
+	Granted Code = iota + 1
+	Running
+	Pending
+	UsedUp
+	Unknowable
+	Deposed
+)
+
+// codeNames are the names of the codes in messages and logs.
+var codeNames = [...]string{"none", "granted", "running", "pending", "usedup", "unknowable", "deposed"}
+
+// String returns the name of the code.
+func (c Code) String() string { return codeNames[c] }
+
+// ParseCode returns the code of a name, 0 if there is none.
+func ParseCode(name string) Code {
+	for i, n := range codeNames {
+		if n == name {
+			return Code(i)
+		}
+	}
+	return 0
+}
+
+// Ask is a request for a reservation.
+type Ask struct {
+	Call   kcrid.Call
+	Plan   kcrid.Plan
+	Server kcrid.Incarnation
+	Addr   string
+	Worst  kcrid.Tokens
+	Rerun  bool // the answer of an earlier run is lost
+	Last   bool // the caller will not ask again: no Pending
+}
+
+// Answer is the outcome of an Ask. ID is set for Granted, Server and Addr for
+// Running.
+type Answer struct {
+	Code   Code
+	ID     uint64
+	Server kcrid.Incarnation
+	Addr   string
+}
+
+// State says how a run ended.
+type State string
+
+// The states of a run.
+const (
+	Whole  State = "whole"
+	Broken State = "broken"
+	Void   State = "void" // it did not run
+)
+
+// Line is a settlement. A line without ID is found by its call.
+type Line struct {
+	ID     uint64
+	Call   kcrid.Call
+	Plan   kcrid.Plan
+	Tokens kcrid.Tokens
+	State  State
+}
+
+// HomeRules are the decisions of a home that a test can take out.
+type HomeRules struct {
+	Fits     func(free, worst kcrid.Tokens) bool
+	OnLedger func(open bool) bool
+	InOffice func(fenced kcrid.Offset) bool
+}
+
+// DefaultHomeRules returns the rules that hold in production.
+func DefaultHomeRules() HomeRules {
+	return HomeRules{
+		Fits:     func(free, worst kcrid.Tokens) bool { return free >= worst },
+		OnLedger: func(open bool) bool { return open },
+		InOffice: func(fenced kcrid.Offset) bool { return fenced == 0 },
+	}
+}
+
+// Timing of a home.
+const (
+	// callMemory is how long a finished call is remembered.
+	callMemory = 10 * kcrclock.Minute
+	// markInterval is the time between reports of spending.
+	markInterval = kcrclock.Minute
+	// idleTime is how long a plan goes unused before its escrow goes back.
+	idleTime = 10 * kcrclock.Minute
+	// deniedTime is how long a refused claim is not repeated.
+	deniedTime = kcrclock.Second
+	// rateWindow is the time constant of the smoothed demand.
+	rateWindow = 5 * kcrclock.Minute
+	// settleWait is how long a recovery waits for runs to end.
+	settleWait = kcrclock.Minute
+)
+
+// Config is what a Home is made of.
+type Config struct {
+	Self        kcrid.Incarnation
+	Rules       HomeRules
+	LedgerRules LedgerRules
+	Policy      Policy
+}
+
+// Home is the home of one bucket. It is safe for concurrent use.
+type Home struct {
+	self   kcrid.Incarnation
+	rules  HomeRules
+	policy Policy
+
+	mu       sync.Mutex
+	ledger   *Ledger
+	outbox   *kcrlog.Outbox
+	ready    bool
+	retired  bool
+	nextID   uint64
+	purses   map[kcrid.Plan]*purse
+	calls    map[kcrid.Call]*call
+	servers  map[kcrid.Incarnation]*server
+	fencing  map[kcrid.Incarnation]bool
+	recovery map[kcrid.Incarnation]*recovery
+}
+
+// purse is what the home knows of its grant for one plan.
+type purse struct {
+	spent     kcrid.Tokens
+	reserved  kcrid.Tokens
+	backing   kcrid.Tokens // given back, not confirmed
+	marked    kcrid.Tokens
+	markedAt  kcrclock.Time
+	claiming  uint64 // sequence of the claim in flight
+	deniedAt  kcrclock.Time
+	denied    bool
+	rate      float64
+	rateAt    kcrclock.Time
+	sinceRate kcrid.Tokens
+	usedAt    kcrclock.Time
+	worst     kcrid.Tokens
+	backs     map[uint64]kcrid.Tokens
+	credits   map[string]bool // put, not confirmed
+}
+
+// call is a call that runs or has run.
+type call struct {
+	id     uint64
+	plan   kcrid.Plan
+	server kcrid.Incarnation
+	addr   string
+	worst  kcrid.Tokens
+	done   bool
+	doneAt kcrclock.Time
+}
+
+// server is a sidecar that reservations may go to.
+type server struct {
+	asked bool
+	used  map[kcrid.Plan]kcrid.Tokens // settled and reserved
+}
+
+// NewHome returns a home that knows nothing of its bucket. It answers Pending
+// until Ready is called after the stream was applied up to its end.
+func NewHome(c Config) *Home {
+	return &Home{
+		self:     c.Self,
+		rules:    c.Rules,
+		policy:   c.Policy,
+		ledger:   NewLedger(c.LedgerRules),
+		outbox:   kcrlog.NewOutbox(c.Self),
+		purses:   map[kcrid.Plan]*purse{},
+		calls:    map[kcrid.Call]*call{},
+		servers:  map[kcrid.Incarnation]*server{},
+		fencing:  map[kcrid.Incarnation]bool{},
+		recovery: map[kcrid.Incarnation]*recovery{},
+	}
+}
+
+// Self returns the incarnation under which the home holds grants.
+func (h *Home) Self() kcrid.Incarnation { return h.self }
+
+// Ready tells the home that its ledger has reached the end of the stream.
+func (h *Home) Ready() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = true
+}
+
+func (h *Home) purse(p kcrid.Plan) *purse {
+	pu, ok := h.purses[p]
+	if !ok {
+		pu = &purse{backs: map[uint64]kcrid.Tokens{}, credits: map[string]bool{}}
+		h.purses[p] = pu
+	}
+	return pu
+}
+
+func (h *Home) free(p kcrid.Plan) kcrid.Tokens {
+	pu := h.purse(p)
+	return h.ledger.Grant(h.self, p).Amount - pu.backing - pu.spent - pu.reserved
+}
+
+func (h *Home) view(p kcrid.Plan, worst kcrid.Tokens) View {
+	a := h.ledger.Account(p)
+	return View{Worst: worst, Rate: h.purse(p).rate, Free: h.free(p), Available: a.Available(), Prepaid: a.Prepaid}
+}
+
+func (h *Home) deposed() bool {
+	own := h.ledger.Holder(h.self)
+	return own != nil && !h.rules.InOffice(own.Fenced)
+}
+
+// Credit asks for a top-up of the lists to be on the ledger.
+func (h *Home) Credit(p kcrid.Plan, name string, tokens kcrid.Tokens) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pu := h.purse(p)
+	if _, ok := h.ledger.Account(p).Credits[name]; ok || pu.credits[name] || !h.ready {
+		return
+	}
+	pu.credits[name] = true
+	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Credit{Credit: &kcrentry.Credit{
+		Plan: string(p), Name: name, Tokens: int64(tokens),
+	}}})
+}
+
+// Reserve answers a request for a reservation. Asking again for a call that
+// already has one at the same sidecar gives the same reservation.
+func (h *Home) Reserve(now kcrclock.Time, a Ask) Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.deposed() || h.retired:
+		return Answer{Code: Deposed}
+	case !h.ready:
+		return pendingOr(a, Unknowable)
+	}
+	if ans, ok := h.known(a); ok {
+		return ans
+	}
+	if !h.rules.OnLedger(h.opened(a.Server)) {
+		return pendingOr(a, Unknowable)
+	}
+	pu := h.purse(a.Plan)
+	pu.usedAt, pu.worst = now, max(pu.worst, a.Worst)
+	if h.rules.Fits(h.free(a.Plan), a.Worst) {
+		return h.grant(a)
+	}
+	return h.short(now, a)
+}
+
+func pendingOr(a Ask, last Code) Answer {
+	if a.Last {
+		return Answer{Code: last}
+	}
+	return Answer{Code: Pending}
+}
+
+// known answers for a call that was seen before.
+func (h *Home) known(a Ask) (Answer, bool) {
+	c, ok := h.calls[a.Call]
+	switch {
+	case !ok:
+		return Answer{}, false
+	case !c.done && c.server == a.Server:
+		return Answer{Code: Granted, ID: c.id, Server: c.server, Addr: c.addr}, true
+	case a.Rerun && c.done:
+		return Answer{}, false
+	default:
+		return Answer{Code: Running, Server: c.server, Addr: c.addr}, true
+	}
+}
+
+// opened tells whether the ledger shows the sidecar as open, and asks for it
+// once if not.
+func (h *Home) opened(s kcrid.Incarnation) bool {
+	sv, ok := h.servers[s]
+	if !ok {
+		sv = &server{used: map[kcrid.Plan]kcrid.Tokens{}}
+		h.servers[s] = sv
+	}
+	if !sv.asked {
+		sv.asked = true
+		h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: &kcrentry.Open{Servers: []string{string(s)}}}})
+	}
+	own := h.ledger.Holder(h.self)
+	return own != nil && own.Open[s]
+}
+
+func (h *Home) grant(a Ask) Answer {
+	h.nextID++
+	h.calls[a.Call] = &call{id: h.nextID, plan: a.Plan, server: a.Server, addr: a.Addr, worst: a.Worst}
+	h.purse(a.Plan).reserved += a.Worst
+	if sv := h.servers[a.Server]; sv != nil {
+		sv.used[a.Plan] += a.Worst
+	}
+	return Answer{Code: Granted, ID: h.nextID, Server: a.Server, Addr: a.Addr}
+}
+
+// short answers a request that does not fit the grant.
+func (h *Home) short(now kcrclock.Time, a Ask) Answer {
+	pu := h.purse(a.Plan)
+	h.claim(now, a.Plan, a.Worst)
+	if h.exhausted(a) {
+		return Answer{Code: UsedUp}
+	}
+	if pu.claiming != 0 || !a.Last {
+		return pendingOr(a, Unknowable)
+	}
+	return Answer{Code: Unknowable}
+}
+
+// exhausted tells whether the budget cannot cover the request even if every
+// holder gave back what it has not reported as spent.
+func (h *Home) exhausted(a Ask) bool {
+	pu := h.purse(a.Plan)
+	if pu.claiming != 0 {
+		return false
+	}
+	acc := h.ledger.Account(a.Plan)
+	left := acc.Available() + h.free(a.Plan) + pu.backing + pu.reserved + h.ledger.Unspent(a.Plan, h.self)
+	return left < a.Worst
+}
+
+// claim asks the ledger for escrow, unless a claim is in flight or was
+// refused a moment ago.
+func (h *Home) claim(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) {
+	pu := h.purse(p)
+	v := h.view(p, worst)
+	if pu.claiming != 0 || v.Prepaid == 0 {
+		return
+	}
+	if pu.denied && v.Available == 0 && now.Sub(pu.deniedAt) < deniedTime {
+		return
+	}
+	want := max(h.policy.Target(v), worst) - v.Free
+	if want <= 0 {
+		return
+	}
+	pu.deniedAt = now
+	pu.claiming = h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{
+		Plan: string(p), Tokens: int64(want),
+	}}})
+}
+
+// Settle takes settlements of a sidecar and returns the ids that it took.
+// A line that was settled before is taken again without effect.
+func (h *Home) Settle(now kcrclock.Time, from kcrid.Incarnation, lines []Line) (taken []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range lines {
+		h.settle(now, from, l)
+		taken = append(taken, l.ID)
+	}
+	return taken
+}
+
+func (h *Home) settle(now kcrclock.Time, from kcrid.Incarnation, l Line) {
+	c := h.calls[l.Call]
+	if c == nil || c.done || c.server != from || (l.ID != 0 && l.ID != c.id) {
+		return
+	}
+	used := max(0, min(l.Tokens, c.worst))
+	pu := h.purse(c.plan)
+	pu.reserved -= c.worst
+	pu.spent += used
+	pu.sinceRate += used
+	if sv := h.servers[from]; sv != nil {
+		sv.used[c.plan] -= c.worst - used
+	}
+	if l.State == Void {
+		delete(h.calls, l.Call)
+		return
+	}
+	c.done, c.doneAt = true, now
+	if l.State == Broken {
+		delete(h.calls, l.Call)
+	}
+}
+
+// Lose closes a sidecar that is gone: what it had reserved counts as spent,
+// and a recovery of this home will not need its evidence.
+func (h *Home) Lose(now kcrclock.Time, s kcrid.Incarnation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sv, ok := h.servers[s]
+	if !ok || h.deposed() {
+		return
+	}
+	for key, c := range h.calls {
+		if c.server == s {
+			h.loseCall(key, c)
+		}
+	}
+	msg := &kcrentry.Close{Server: string(s)}
+	for p, t := range sv.used {
+		if t > 0 {
+			msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(t)})
+		}
+	}
+	delete(h.servers, s)
+	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Close{Close: msg}})
+}
+
+func (h *Home) loseCall(key kcrid.Call, c *call) {
+	if !c.done {
+		pu := h.purse(c.plan)
+		pu.reserved -= c.worst
+		pu.spent += c.worst
+	}
+	delete(h.calls, key)
+}
+
+// Apply folds one record of the bucket's stream.
+func (h *Home) Apply(now kcrclock.Time, off kcrid.Offset, e *kcrentry.Entry) Effect {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	eff := h.ledger.Apply(off, e)
+	if kcrid.Incarnation(e.GetWriter()) == h.self {
+		h.outbox.Confirm(e.GetSeq())
+		h.confirm(now, eff, e)
+		return eff
+	}
+	if eff.Kind == Claimed && eff.Unmet > 0 && h.ready && !h.deposed() {
+		h.spare(eff)
+	}
+	return eff
+}
+
+// confirm takes in the effect of an own record.
+func (h *Home) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
+	switch eff.Kind {
+	case Claimed:
+		pu := h.purse(eff.Plan)
+		pu.claiming = 0
+		pu.denied = eff.Tokens == 0
+		pu.deniedAt = now
+	case Marked:
+		pu := h.purse(eff.Plan)
+		pu.backing -= pu.backs[e.GetSeq()]
+		delete(pu.backs, e.GetSeq())
+	case Ignored:
+		if c := e.GetClaim(); c != nil {
+			h.purse(kcrid.Plan(c.GetPlan())).claiming = 0
+		}
+	}
+}
+
+// spare gives idle escrow to a holder that claimed in vain.
+func (h *Home) spare(eff Effect) {
+	back := h.policy.Spare(h.view(eff.Plan, 0), eff.Unmet)
+	if back > 0 {
+		h.giveBack(eff.Plan, back)
+	}
+}
+
+func (h *Home) giveBack(p kcrid.Plan, back kcrid.Tokens) {
+	pu := h.purse(p)
+	pu.backing += back
+	pu.marked = pu.spent
+	seq := h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
+		Plan: string(p), Back: int64(back), Spent: int64(pu.spent),
+	}}})
+	if back > 0 {
+		pu.backs[seq] = back
+	}
+}
+
+// Tick does what is due: refills, reports, returns, and forgets old calls.
+func (h *Home) Tick(now kcrclock.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ready || h.retired || h.deposed() {
+		return
+	}
+	for p, pu := range h.purses {
+		h.tickPurse(now, p, pu)
+	}
+	for key, c := range h.calls {
+		if c.done && now.Sub(c.doneAt) > callMemory {
+			delete(h.calls, key)
+		}
+	}
+	h.tickRecovery(now)
+}
+
+func (h *Home) tickPurse(now kcrclock.Time, p kcrid.Plan, pu *purse) {
+	pu.smooth(now)
+	amount := h.ledger.Grant(h.self, p).Amount
+	if amount == 0 {
+		return
+	}
+	free := h.free(p)
+	idle := now.Sub(pu.usedAt) > idleTime
+	target := h.policy.Target(h.view(p, pu.worst))
+	switch {
+	case idle && free > 0 && h.policy.Spare(h.view(p, 0), math.MaxInt64) > 0:
+		h.giveBack(p, free)
+	case !idle && free < target/2:
+		h.claim(now, p, pu.worst)
+	case pu.spent != pu.marked && now.Sub(pu.markedAt) >= markInterval:
+		pu.markedAt = now
+		h.giveBack(p, 0)
+	}
+}
+
+// smooth updates the demand rate.
+func (pu *purse) smooth(now kcrclock.Time) {
+	dt := now.Sub(pu.rateAt).Seconds()
+	if dt < 1 {
+		return
+	}
+	w := 1 - math.Exp(-dt/rateWindow.Seconds())
+	pu.rate += w * (float64(pu.sinceRate)/dt - pu.rate)
+	pu.sinceRate, pu.rateAt = 0, now
+}
+
+// Retire ends the home for a planned stop: it gives no more reservations and,
+// once none is outstanding, closes its grants at what was spent. It returns
+// how many reservations are still outstanding.
+func (h *Home) Retire() (outstanding int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.calls {
+		if !c.done {
+			outstanding++
+		}
+	}
+	if outstanding > 0 || h.retired || !h.ready || h.deposed() {
+		h.retired = h.retired || outstanding == 0
+		return outstanding
+	}
+	h.retired = true
+	own := h.ledger.Holder(h.self)
+	if own == nil {
+		return 0
+	}
+	msg := &kcrentry.Refund{Holder: string(h.self)}
+	for p := range own.Grants {
+		msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(h.purse(p).spent)})
+	}
+	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Refund{Refund: msg}})
+	return 0
+}
+
+// Batch returns entries to append; see kcrlog.Outbox.
+func (h *Home) Batch(limit int) ([][]byte, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.outbox.Batch(limit)
+}
+
+// Waiting returns the number of entries that are not confirmed.
+func (h *Home) Waiting() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.outbox.Len()
+}
+
+// Deposed tells whether another process has fenced the home.
+func (h *Home) Deposed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.deposed()
+}
+
+// At returns the offset of the last record applied.
+func (h *Home) At() kcrid.Offset {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.At()
+}
+
+// Account returns the ledger's state of a plan and what is free here.
+func (h *Home) Account(p kcrid.Plan) (a Account, free kcrid.Tokens) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Account(p), h.free(p)
+}
+
+// Snapshot returns the ledger's state.
+func (h *Home) Snapshot() (kcrid.Offset, []byte, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Snapshot()
+}
+
+// Restore loads a snapshot of the ledger if it is newer.
+func (h *Home) Restore(data []byte) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Restore(data)
+}
+
+// Outstanding returns how many reservations a sidecar holds.
+func (h *Home) Outstanding(s kcrid.Incarnation) (n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.calls {
+		if c.server == s && !c.done {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/link/kcrdaemon/follower.go
@@ -0,0 +1,246 @@
+// Package kcrdaemon holds what the router and the sidecar share as processes:
+// following a stream of the log, the admin endpoint, and the decision log.
+package kcrdaemon
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
+// This file defines the follower, which keeps a fold up to date with a stream
+// and appends what the fold has to say. Invariants: records are applied in
+// order and none is left out; where retention has passed the position and no
+// snapshot covers it, nothing is applied; an append is repeated only as the
+// same bytes, which folds recognize.
+
+// Fold is what a follower drives. Batch, Snapshot and Ready may be nil.
+type Fold struct {
+	Apply    func(off kcrid.Offset, e *kcrentry.Entry)
+	At       func() kcrid.Offset
+	Restore  func(state []byte) (bool, error)
+	Snapshot func() (kcrid.Offset, []byte, error)
+	Batch    func(limit int) ([][]byte, uint64)
+	Ready    func()
+}
+
+// Timing and sizes of a follower.
+const (
+	readWait      = kcrclock.Second
+	errorPause    = 200 * time.Millisecond
+	appendTick    = 10 * time.Millisecond
+	confirmWait   = time.Second
+	batchSize     = 256
+	snapshotEvery = 2000 // records
+	snapshotPart  = 512 << 10
+)
+
+// Follower keeps one fold up to date.
+type Follower struct {
+	log    kcrlog.Log
+	stream kcrid.Stream
+	fold   Fold
+	logger *slog.Logger
+	next   kcrid.Offset
+	snapAt kcrid.Offset
+	heard  atomic.Int64 // unix ms of the last successful read at the end
+	cancel context.CancelFunc
+	wait   conc.WaitGroup
+}
+
+// NewFollower starts to follow a stream.
+func NewFollower(log kcrlog.Log, stream kcrid.Stream, fold Fold, logger *slog.Logger) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{log: log, stream: stream, fold: fold, logger: logger, next: fold.At() + 1, cancel: cancel}
+	f.wait.Go(func() { f.read(ctx) })
+	if fold.Batch != nil {
+		f.wait.Go(func() { f.write(ctx) })
+	}
+	return f
+}
+
+// Close stops following and waits until both goroutines have ended.
+func (f *Follower) Close() {
+	f.cancel()
+	f.wait.Wait()
+}
+
+// Lag returns how long ago the follower knew the end of the stream.
+func (f *Follower) Lag() kcrclock.Duration {
+	return kcrclock.Duration(time.Now().UnixMilli() - f.heard.Load())
+}
+
+func (f *Follower) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		if at := f.fold.At(); at >= f.next {
+			f.next = at + 1
+		}
+		page, err := f.log.Read(ctx, f.stream, f.next, readWait)
+		if err != nil {
+			f.logger.Debug("log read failed", "stream", f.stream, "err", err)
+			pause(ctx, errorPause)
+			continue
+		}
+		if page.First > f.next && !f.restore(ctx, page.First) {
+			f.logger.Error("state is not knowable: retention has passed it", "stream", f.stream, "need", f.next, "first", page.First)
+			pause(ctx, time.Second)
+			continue
+		}
+		f.take(page)
+	}
+}
+
+func (f *Follower) take(page kcrlog.Page) {
+	for _, r := range page.Records {
+		if r.Offset != f.next {
+			continue
+		}
+		f.next++
+		e, err := kcrlog.Decode(r.Data)
+		if err != nil {
+			f.logger.Warn("record skipped", "stream", f.stream, "offset", r.Offset, "err", err)
+			continue
+		}
+		f.fold.Apply(r.Offset, e)
+	}
+	if f.next >= page.Next {
+		f.heard.Store(time.Now().UnixMilli())
+		if f.fold.Ready != nil {
+			f.fold.Ready()
+		}
+	}
+}
+
+// restore loads the newest snapshot that the retained records continue.
+func (f *Follower) restore(ctx context.Context, first kcrid.Offset) bool {
+	snaps := kcrid.SnapStream(f.stream)
+	for at, state := range ReadSnapshots(ctx, f.log, snaps) {
+		if at+1 < first {
+			continue
+		}
+		if _, err := f.fold.Restore(state); err != nil {
+			f.logger.Warn("snapshot skipped", "stream", snaps, "at", at, "err", err)
+			continue
+		}
+	}
+	if at := f.fold.At(); at+1 >= first {
+		f.next = max(f.next, at+1)
+		f.snapAt = f.next
+		return true
+	}
+	return false
+}
+
+// ReadSnapshots returns the whole snapshots on a stream by their offset.
+func ReadSnapshots(ctx context.Context, log kcrlog.Log, snaps kcrid.Stream) map[kcrid.Offset][]byte {
+	whole := map[kcrid.Offset][]byte{}
+	type key struct {
+		writer string
+		at     uint64
+	}
+	parts := map[key][][]byte{}
+	for from := kcrid.Offset(1); ; {
+		page, err := log.Read(ctx, snaps, from, 0)
+		if err != nil || len(page.Records) == 0 && page.First <= from {
+			return whole
+		}
+		from = max(from, page.First)
+		for _, r := range page.Records {
+			from = r.Offset + 1
+			e, err := kcrlog.Decode(r.Data)
+			snap := e.GetSnap()
+			if err != nil || snap == nil {
+				continue
+			}
+			k := key{e.GetWriter(), snap.GetAt()}
+			if int(snap.GetPart()) == len(parts[k]) {
+				parts[k] = append(parts[k], snap.GetState())
+			}
+			if len(parts[k]) == int(snap.GetParts()) {
+				whole[kcrid.Offset(snap.GetAt())] = join(parts[k])
+			}
+		}
+	}
+}
+
+func join(parts [][]byte) (out []byte) {
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
+func (f *Follower) write(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, appendTick)
+		records, last := f.fold.Batch(batchSize)
+		if len(records) > 0 {
+			f.append(ctx, records, last)
+		}
+		f.snapshot(ctx)
+	}
+}
+
+// append writes a batch and waits until the reader has seen it.
+func (f *Follower) append(ctx context.Context, records [][]byte, last uint64) {
+	if err := f.log.Append(ctx, f.stream, records); err != nil {
+		f.logger.Debug("log append failed", "stream", f.stream, "err", err)
+		pause(ctx, errorPause)
+	}
+	for waited := time.Duration(0); waited < confirmWait && ctx.Err() == nil; waited += appendTick {
+		if _, now := f.fold.Batch(len(records)); now != last {
+			return
+		}
+		pause(ctx, appendTick)
+	}
+}
+
+func (f *Follower) snapshot(ctx context.Context) {
+	if f.fold.Snapshot == nil || f.fold.At() < f.snapAt+snapshotEvery {
+		return
+	}
+	at, state, err := f.fold.Snapshot()
+	if err != nil {
+		f.logger.Error("snapshot failed", "stream", f.stream, "err", err)
+		return
+	}
+	f.snapAt = at
+	if err := WriteSnapshot(ctx, f.log, f.stream, at, state); err != nil {
+		f.logger.Warn("snapshot not written", "stream", f.stream, "err", err)
+	}
+}
+
+// WriteSnapshot appends a state as of an offset to the stream's snapshots.
+func WriteSnapshot(ctx context.Context, log kcrlog.Log, stream kcrid.Stream, at kcrid.Offset, state []byte) error {
+	var records [][]byte
+	count := (len(state) + snapshotPart - 1) / snapshotPart
+	for i := range count {
+		part := state[i*snapshotPart : min(len(state), (i+1)*snapshotPart)]
+		data, err := proto.Marshal(&kcrentry.Entry{Kind: &kcrentry.Entry_Snap{Snap: &kcrentry.Snap{
+			At: uint64(at), Part: uint32(i), Parts: uint32(count), State: part,
+		}}})
+		if err != nil {
+			return err
+		}
+		records = append(records, data)
+	}
+	return log.Append(ctx, kcrid.SnapStream(stream), records)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -0,0 +1,207 @@
+// Package kcrsidecar is the process beside each upstream: the last gate before
+// it. It meters tokens, is a home of budgets, keeps answers for retries, runs
+// non-idempotent calls at most once, and refuses new work when it is leaving.
+package kcrsidecar
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"kingcuprun.example/kernel/kcrbudget"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrintent"
+	"kingcuprun.example/kernel/kcrlimit"
+	"kingcuprun.example/kernel/kcrlist"
+	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/link/kcrdaemon"
+	"kingcuprun.example/link/kcrlink"
+	"kingcuprun.example/link/kcrplatform"
+	"kingcuprun.example/link/kcrsettings"
+)
+
+// Config is what a Sidecar is made of.
+type Config struct {
+	Settings *kcrsettings.Settings
+	Self     kcrsettings.Upstream
+	Server   kcrid.Incarnation
+	Escrow   kcrbudget.Policy
+	Clock    kcrclock.Clock
+	Logger   *slog.Logger
+	Platform *kcrplatform.Client
+	VMs      *kcrplatform.Client
+	Metrics  *prometheus.Registry
+	Pool     *kcrlink.Pool
+}
+
+// Sidecar is a running sidecar.
+type Sidecar struct {
+	config   Config
+	self     kcrid.Incarnation
+	service  kcrsettings.Service
+	clock    kcrclock.Clock
+	journal  *kcrdaemon.Journal
+	state    *kcrlist.State
+	lists    *kcrdaemon.Config
+	fleet    *kcrdaemon.Fleet
+	pool     *kcrlink.Pool
+	upstream *upstream
+	meter    *kcrbudget.Meter
+	gate     *gate
+	tapes    *tapes
+	homes    *homes
+	settler  *settler
+	desk     *kcrintent.Desk
+	intents  *kcrdaemon.Follower
+	crashes  *crashes
+	server   *kcrlink.Server
+	admin    *kcrdaemon.Admin
+	metrics  *metrics
+	stopping atomic.Bool
+	active   sync.WaitGroup
+	cancel   context.CancelFunc
+	wait     conc.WaitGroup
+}
+
+const tickInterval = 50 * time.Millisecond
+
+// New starts a sidecar.
+func New(c Config) (s *Sidecar, err error) {
+	service, _ := c.Settings.Service(c.Self.Service)
+	s = &Sidecar{
+		config:   c,
+		self:     c.Server,
+		service:  service,
+		clock:    c.Clock,
+		journal:  kcrdaemon.NewJournal(c.Logger),
+		state:    kcrlist.NewState(kcrlist.DefaultRules()),
+		pool:     c.Pool,
+		upstream: newUpstream(c.Self.Upstream),
+		meter:    kcrbudget.NewMeter(kcrbudget.DefaultMeterRules()),
+		gate:     newGate(c.Clock, kcrlimit.New(kcrlimit.DefaultConfig())),
+		tapes:    newTapes(c.Clock),
+		metrics:  newMetrics(c.Metrics),
+	}
+	s.crashes = newCrashes(kcrlog.NewOutbox(c.Server), string(c.Server))
+	s.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, func([]kcrplatform.VM) {})
+	log := c.Platform.Log()
+	s.lists = kcrdaemon.NewConfig(s.state, log, s.pool, s.peers, c.Logger, s.crashes.batch, s.listsChanged)
+	s.homes = newHomes(s, log)
+	s.settler = newSettler(s, log)
+	if service.Kind == kcrsettings.Plain {
+		s.followIntents(log)
+	}
+	if s.server, err = kcrlink.Listen(c.Self.Listen, s.serve); err != nil {
+		return nil, err
+	}
+	if s.admin, err = kcrdaemon.NewAdmin(c.Self.Admin, c.Metrics, s.health, s.journal.Find); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.wait.Go(func() { s.tick(ctx) })
+	return s, nil
+}
+
+func (s *Sidecar) followIntents(log kcrlog.Log) {
+	s.desk = kcrintent.NewDesk(s.self, kcrintent.DefaultRules(), kcrintent.Memory)
+	d := s.desk
+	s.intents = kcrdaemon.NewFollower(log, kcrid.IntentStream(s.service.Name), kcrdaemon.Fold{
+		Apply:    func(off kcrid.Offset, e *kcrentry.Entry) { d.Apply(s.clock.Now(), off, e) },
+		At:       d.At,
+		Restore:  d.Restore,
+		Snapshot: d.Snapshot,
+		Batch:    d.Batch,
+		Ready:    d.Ready,
+	}, s.config.Logger)
+}
+
+func (s *Sidecar) listsChanged(e *kcrentry.Entry) { s.crashes.confirm(e) }
+
+func (s *Sidecar) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			now := s.clock.Now()
+			s.gate.tick(now)
+			s.tapes.expire(now)
+			s.homes.tick(now)
+		}
+	}
+}
+
+// peers returns the addresses of the other sidecars.
+func (s *Sidecar) peers() (out []string) {
+	for _, vm := range s.fleet.VMs() {
+		if vm.Name != s.config.Self.VM {
+			out = append(out, vm.Addr)
+		}
+	}
+	return out
+}
+
+// leaving tells whether the upstream must get no new work: the operator's mark
+// on the log, the VM list, or a planned stop says so, whichever comes first.
+func (s *Sidecar) leaving() bool {
+	if s.stopping.Load() || s.state.Leaving(s.config.Self.VM) {
+		return true
+	}
+	vm, ok := s.fleet.Find(s.config.Self.VM)
+	return ok && vm.State == kcrplatform.StateLeaving
+}
+
+func (s *Sidecar) health() kcrdaemon.Health {
+	switch {
+	case s.leaving():
+		return kcrdaemon.Leaving
+	case s.state.At() == 0:
+		return kcrdaemon.Starting
+	default:
+		return kcrdaemon.Ready
+	}
+}
+
+// Stop ends the sidecar without cutting off a request: it refuses new work,
+// finishes what runs, settles, closes its grants, and goes.
+func (s *Sidecar) Stop(ctx context.Context) {
+	s.stopping.Store(true)
+	s.config.Logger.Info("stopping")
+	done := make(chan struct{})
+	s.wait.Go(func() {
+		s.active.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	s.settler.drain(ctx)
+	s.homes.retire(ctx)
+	s.close()
+}
+
+func (s *Sidecar) close() {
+	s.cancel()
+	s.admin.Close()
+	s.server.Close()
+	s.settler.close()
+	s.homes.close()
+	if s.intents != nil {
+		s.intents.Close()
+	}
+	s.lists.Close()
+	s.fleet.Close()
+	s.pool.Close()
+	s.wait.Wait()
+}
