--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	@for p in $(PROGRAMS); do (cd $$p && go build -o ../build/$$p .) || exit 1; done
 
 demo: build
-	@./build/bench demo --settings deploy/demo.jsonc --programs build --lists deploy
+	@./scripts/demo.sh
 
 test: lint
 	@for m in $(MODULES); do echo "== $$m"; (cd $$m && go test -race ./...) || exit 1; done
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -76,7 +77,7 @@
 	Void   State = "void" // it did not run
 )
 
-// Line is a settlement. A line without ID is found by its call.
+// Line is a settlement.
 type Line struct {
 	ID     uint64
 	Call   kcrid.Call
@@ -88,7 +89,9 @@
 // HomeRules are the decisions of a home that a test can take out.
 type HomeRules struct {
 	Fits     func(free, worst kcrid.Tokens) bool
+	Covers   func(reserved, worst kcrid.Tokens) bool
 	OnLedger func(open bool) bool
+	Closing  func(closing bool) bool
 	InOffice func(fenced kcrid.Offset) bool
 }
 
@@ -96,7 +99,9 @@
 func DefaultHomeRules() HomeRules {
 	return HomeRules{
 		Fits:     func(free, worst kcrid.Tokens) bool { return free >= worst },
+		Covers:   func(reserved, worst kcrid.Tokens) bool { return reserved >= worst },
 		OnLedger: func(open bool) bool { return open },
+		Closing:  func(closing bool) bool { return closing },
 		InOffice: func(fenced kcrid.Offset) bool { return fenced == 0 },
 	}
 }
@@ -176,8 +181,9 @@
 
 // server is a sidecar that reservations may go to.
 type server struct {
-	asked bool
-	used  map[kcrid.Plan]kcrid.Tokens // settled and reserved
+	asked   bool
+	closing bool                        // a Close is on its way to the ledger
+	used    map[kcrid.Plan]kcrid.Tokens // settled and reserved
 }
 
 // NewHome returns a home that knows nothing of its bucket. It answers Pending
@@ -254,13 +260,13 @@
 	case h.deposed() || h.retired:
 		return Answer{Code: Deposed}
 	case !h.ready:
-		return pendingOr(a, Unknowable)
+		return later(a)
 	}
 	if ans, ok := h.known(a); ok {
 		return ans
 	}
 	if !h.rules.OnLedger(h.opened(a.Server)) {
-		return pendingOr(a, Unknowable)
+		return later(a)
 	}
 	pu := h.purse(a.Plan)
 	pu.usedAt, pu.worst = now, max(pu.worst, a.Worst)
@@ -270,9 +276,10 @@
 	return h.short(now, a)
 }
 
-func pendingOr(a Ask, last Code) Answer {
+// later answers a request that may be granted soon.
+func later(a Ask) Answer {
 	if a.Last {
-		return Answer{Code: last}
+		return Answer{Code: Unknowable}
 	}
 	return Answer{Code: Pending}
 }
@@ -283,6 +290,8 @@
 	switch {
 	case !ok:
 		return Answer{}, false
+	case !c.done && c.server == a.Server && !h.rules.Covers(c.worst, a.Worst):
+		return later(a), true
 	case !c.done && c.server == a.Server:
 		return Answer{Code: Granted, ID: c.id, Server: c.server, Addr: c.addr}, true
 	case a.Rerun && c.done:
@@ -293,13 +302,17 @@
 }
 
 // opened tells whether the ledger shows the sidecar as open, and asks for it
-// once if not.
+// once if not. While a Close is on its way, the ledger shows as open what a
+// recovery may soon not ask any more.
 func (h *Home) opened(s kcrid.Incarnation) bool {
 	sv, ok := h.servers[s]
 	if !ok {
 		sv = &server{used: map[kcrid.Plan]kcrid.Tokens{}}
 		h.servers[s] = sv
 	}
+	if h.rules.Closing(sv.closing) {
+		return false
+	}
 	if !sv.asked {
 		sv.asked = true
 		h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: &kcrentry.Open{Servers: []string{string(s)}}}})
@@ -320,15 +333,11 @@
 
 // short answers a request that does not fit the grant.
 func (h *Home) short(now kcrclock.Time, a Ask) Answer {
-	pu := h.purse(a.Plan)
 	h.claim(now, a.Plan, a.Worst)
 	if h.exhausted(a) {
 		return Answer{Code: UsedUp}
 	}
-	if pu.claiming != 0 || !a.Last {
-		return pendingOr(a, Unknowable)
-	}
-	return Answer{Code: Unknowable}
+	return later(a)
 }
 
 // exhausted tells whether the budget cannot cover the request even if every
@@ -364,21 +373,42 @@
 	}}})
 }
 
-// Settle takes settlements of a sidecar and returns the ids that it took.
-// A line that was settled before is taken again without effect.
-func (h *Home) Settle(now kcrclock.Time, from kcrid.Incarnation, lines []Line) (taken []uint64) {
+// Report is what a sidecar tells a home from time to time. Held are the
+// reservations that it still uses; it has barred all others up to Floor.
+type Report struct {
+	Lines []Line
+	Held  []uint64
+	Floor uint64
+}
+
+// Receipt answers a report. Last is the newest reservation of the home.
+type Receipt struct {
+	Taken []uint64
+	Last  uint64
+}
+
+// Settle takes the report of a sidecar. A line that was settled before is
+// taken again without effect. Reservations whose grant never reached the
+// sidecar are taken back.
+func (h *Home) Settle(now kcrclock.Time, from kcrid.Incarnation, r Report) (out Receipt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, l := range lines {
+	for _, l := range r.Lines {
 		h.settle(now, from, l)
-		taken = append(taken, l.ID)
+		out.Taken = append(out.Taken, l.ID)
+	}
+	for key, c := range h.calls {
+		if c.server == from && !c.done && c.id <= r.Floor && !slices.Contains(r.Held, c.id) {
+			h.settle(now, from, Line{ID: c.id, Call: key, State: Void})
+		}
 	}
-	return taken
+	out.Last = h.nextID
+	return out
 }
 
 func (h *Home) settle(now kcrclock.Time, from kcrid.Incarnation, l Line) {
 	c := h.calls[l.Call]
-	if c == nil || c.done || c.server != from || (l.ID != 0 && l.ID != c.id) {
+	if c == nil || c.done || c.server != from || l.ID != c.id {
 		return
 	}
 	used := max(0, min(l.Tokens, c.worst))
@@ -405,7 +435,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	sv, ok := h.servers[s]
-	if !ok || h.deposed() {
+	if !ok || sv.closing || h.deposed() {
 		return
 	}
 	for key, c := range h.calls {
@@ -419,7 +449,7 @@
 			msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(t)})
 		}
 	}
-	delete(h.servers, s)
+	h.servers[s] = &server{closing: true, used: map[kcrid.Plan]kcrid.Tokens{}}
 	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Close{Close: msg}})
 }
 
@@ -450,6 +480,9 @@
 
 // confirm takes in the effect of an own record.
 func (h *Home) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
+	if c := e.GetClose(); c != nil {
+		delete(h.servers, kcrid.Incarnation(c.GetServer()))
+	}
 	switch eff.Kind {
 	case Claimed:
 		pu := h.purse(eff.Plan)
--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -32,7 +32,7 @@
 }
 
 // Available returns what no grant holds and nobody has spent.
-func (a *Account) Available() kcrid.Tokens { return a.Prepaid - a.Allotted - a.Settled }
+func (a Account) Available() kcrid.Tokens { return a.Prepaid - a.Allotted - a.Settled }
 
 // Grant is escrow of one plan in the hands of one holder. Spent is what the
 // holder reported; Gone is the spending at sidecars that it has closed.
--- a/kernel/kcrbudget/meter.go
+++ b/kernel/kcrbudget/meter.go
@@ -38,6 +38,7 @@
 type MeterRules struct {
 	Refuses func(fenced bool) bool
 	Exceeds func(used, worst kcrid.Tokens) bool
+	Barred  func(floor, id uint64) bool
 }
 
 // DefaultMeterRules returns the rules that hold in production.
@@ -45,6 +46,7 @@
 	return MeterRules{
 		Refuses: func(fenced bool) bool { return fenced },
 		Exceeds: func(used, worst kcrid.Tokens) bool { return used > worst },
+		Barred:  func(floor, id uint64) bool { return id <= floor },
 	}
 }
 
@@ -65,7 +67,8 @@
 	fenced bool
 	done   map[kcrid.Plan]kcrid.Tokens
 	runs   map[uint64]*run
-	last   map[uint64]bool
+	ended  map[uint64]bool
+	floor  uint64
 }
 
 type run struct {
@@ -88,7 +91,7 @@
 	sh.mu.Lock()
 	s, ok := sh.holders[holder]
 	if !ok {
-		s = &served{done: map[kcrid.Plan]kcrid.Tokens{}, runs: map[uint64]*run{}, last: map[uint64]bool{}}
+		s = &served{done: map[kcrid.Plan]kcrid.Tokens{}, runs: map[uint64]*run{}, ended: map[uint64]bool{}}
 		sh.holders[holder] = s
 	}
 	return s, sh.mu.Unlock
@@ -101,7 +104,7 @@
 	if m.rules.Refuses(s.fenced) {
 		return ErrFenced
 	}
-	if s.runs[id] != nil || s.last[id] {
+	if s.runs[id] != nil || s.ended[id] || m.rules.Barred(s.floor, id) {
 		return ErrRepeated
 	}
 	s.runs[id] = &run{plan: plan, worst: worst}
@@ -129,17 +132,22 @@
 		return 0
 	}
 	delete(s.runs, id)
-	s.last[id] = true
+	s.ended[id] = true
 	s.done[r.plan] += r.used
 	return r.used
 }
 
-// Settled forgets that a reservation was used, once its holder has taken the
-// settlement and will not give the reservation again.
-func (m *Meter) Settled(holder kcrid.Incarnation, id uint64) {
+// Bar makes sure that no reservation up to floor begins from now on, so that
+// the holder may take back those that this sidecar does not hold.
+func (m *Meter) Bar(holder kcrid.Incarnation, floor uint64) {
 	s, unlock := m.lock(holder)
 	defer unlock()
-	delete(s.last, id)
+	s.floor = max(s.floor, floor)
+	for id := range s.ended {
+		if id <= s.floor {
+			delete(s.ended, id)
+		}
+	}
 }
 
 // Fence refuses further runs under a holder and returns the evidence.
--- a/kernel/kcrjson/node.go
+++ b/kernel/kcrjson/node.go
@@ -13,6 +13,9 @@
 // MaxSize is the largest document that Parse accepts, in bytes.
 const MaxSize = 32 << 20
 
+// root is the path of the whole document.
+const root = "document"
+
 // Error is a fault in a document. Line and Col start at 1.
 type Error struct {
 	File string
@@ -46,17 +49,17 @@
 // Parse reads a document. The name stands in errors.
 func Parse(name string, src []byte) (n Node, err error) {
 	if len(src) > MaxSize {
-		return n, &Error{File: name, Line: 1, Col: 1, Path: "document", Want: fmt.Sprintf("at most %d bytes", MaxSize), Got: fmt.Sprintf("%d bytes", len(src))}
+		return n, &Error{File: name, Line: 1, Col: 1, Path: root, Want: fmt.Sprintf("at most %d bytes", MaxSize), Got: fmt.Sprintf("%d bytes", len(src))}
 	}
 	v, err := hujson.Parse(src)
 	if err != nil {
 		return n, syntaxError(name, err)
 	}
-	return Node{file: &file{name: name, src: src}, path: "document", value: &v}, nil
+	return Node{file: &file{name: name, src: src}, path: root, value: &v}, nil
 }
 
 func syntaxError(name string, err error) error {
-	out := &Error{File: name, Line: 1, Col: 1, Path: "document", Want: "JSON with comments", Got: err.Error()}
+	out := &Error{File: name, Line: 1, Col: 1, Path: root, Want: "JSON with comments", Got: err.Error()}
 	var line, col int
 	if _, scan := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &col); scan == nil {
 		out.Line, out.Col = line, col
--- a/kingcuprun/kcroperate/operate.go
+++ b/kingcuprun/kcroperate/operate.go
@@ -40,33 +40,33 @@
 	return &Operator{log: log, buckets: buckets, writer: kcrid.Incarnation("operator/" + rand.Text()[:10])}
 }
 
+// fold is what a replay drives.
+type fold struct {
+	at      func() kcrid.Offset
+	restore func([]byte) (bool, error)
+	apply   func(kcrid.Offset, *kcrentry.Entry)
+}
+
 // replay folds a stream from its start, or from the newest usable snapshot, up
 // to its end.
-func replay(ctx context.Context, log kcrlog.Log, stream kcrid.Stream, at func() kcrid.Offset,
-	restore func([]byte) (bool, error), apply func(kcrid.Offset, *kcrentry.Entry),
-) (err error) {
+func replay(ctx context.Context, log kcrlog.Log, stream kcrid.Stream, f fold) (err error) {
 	defer kcrerror.Annotate(&err, "replay %s", stream)
-	for next := at() + 1; ; {
+	for next := f.at() + 1; ; {
 		page, err := log.Read(ctx, stream, next, 0)
 		if err != nil {
 			return err
 		}
 		if page.First > next {
-			for _, state := range kcrdaemon.ReadSnapshots(ctx, log, kcrid.SnapStream(stream)) {
-				if _, err := restore(state); err != nil {
-					return err
-				}
-			}
-			if at()+1 < page.First {
-				return fmt.Errorf("records from %d on are needed, and the log starts at %d", at()+1, page.First)
+			if err := f.skip(ctx, log, stream, page.First); err != nil {
+				return err
 			}
-			next = at() + 1
+			next = f.at() + 1
 			continue
 		}
 		for _, r := range page.Records {
 			next = r.Offset + 1
 			if e, err := kcrlog.Decode(r.Data); err == nil {
-				apply(r.Offset, e)
+				f.apply(r.Offset, e)
 			}
 		}
 		if next >= page.Next {
@@ -75,10 +75,25 @@
 	}
 }
 
+// skip loads snapshots where retention has passed the start of the stream.
+func (f fold) skip(ctx context.Context, log kcrlog.Log, stream kcrid.Stream, first kcrid.Offset) error {
+	for _, state := range kcrdaemon.ReadSnapshots(ctx, log, kcrid.SnapStream(stream)) {
+		if _, err := f.restore(state); err != nil {
+			return err
+		}
+	}
+	if f.at()+1 < first {
+		return fmt.Errorf("records from %d on are needed, and the log starts at %d", f.at()+1, first)
+	}
+	return nil
+}
+
 // Lists returns the configuration in force.
 func (o *Operator) Lists(ctx context.Context) (s *kcrlist.State, err error) {
 	s = kcrlist.NewState(kcrlist.DefaultRules())
-	err = replay(ctx, o.log, kcrid.ConfigStream, s.At, s.Restore, func(off kcrid.Offset, e *kcrentry.Entry) { s.Apply(off, e) })
+	err = replay(ctx, o.log, kcrid.ConfigStream, fold{
+		at: s.At, restore: s.Restore, apply: func(off kcrid.Offset, e *kcrentry.Entry) { s.Apply(off, e) },
+	})
 	return s, err
 }
 
@@ -123,12 +138,12 @@
 	var verdict kcrlist.Verdict
 	for range confirmTries {
 		appendErr := o.log.Append(ctx, kcrid.ConfigStream, records)
-		err = replay(ctx, o.log, kcrid.ConfigStream, state.At, state.Restore, func(off kcrid.Offset, got *kcrentry.Entry) {
+		err = replay(ctx, o.log, kcrid.ConfigStream, fold{at: state.At, restore: state.Restore, apply: func(off kcrid.Offset, got *kcrentry.Entry) {
 			v := state.Apply(off, got)
 			if got.GetWriter() == string(o.writer) && found == 0 {
 				found, verdict = off, v
 			}
-		})
+		}})
 		switch {
 		case found != 0 && verdict.Accepted:
 			return found, nil
@@ -156,7 +171,9 @@
 func (o *Operator) Ledger(ctx context.Context, p kcrid.Plan) (l *kcrbudget.Ledger, err error) {
 	l = kcrbudget.NewLedger(kcrbudget.DefaultLedgerRules())
 	stream := kcrid.BudgetStream(kcrid.BucketOf(p, o.buckets))
-	err = replay(ctx, o.log, stream, l.At, l.Restore, func(off kcrid.Offset, e *kcrentry.Entry) { l.Apply(off, e) })
+	err = replay(ctx, o.log, stream, fold{
+		at: l.At, restore: l.Restore, apply: func(off kcrid.Offset, e *kcrentry.Entry) { l.Apply(off, e) },
+	})
 	return l, err
 }
 
@@ -186,4 +203,3 @@
 		}
 	}
 }
-
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -80,11 +80,12 @@
 }
 
 func (f *Follower) read(ctx context.Context) {
+	wait := kcrclock.Duration(0)
 	for ctx.Err() == nil {
 		if at := f.fold.At(); at >= f.next {
 			f.next = at + 1
 		}
-		page, err := f.log.Read(ctx, f.stream, f.next, readWait)
+		page, err := f.log.Read(ctx, f.stream, f.next, wait)
 		if err != nil {
 			f.logger.Debug("log read failed", "stream", f.stream, "err", err)
 			pause(ctx, errorPause)
@@ -96,6 +97,7 @@
 			continue
 		}
 		f.take(page)
+		wait = readWait
 	}
 }
 
--- a/router/kcrrouter/router.go
+++ b/router/kcrrouter/router.go
@@ -183,7 +183,10 @@
 func (r *Router) Stop(ctx context.Context) {
 	r.stopping.Store(true)
 	r.config.Logger.Info("stopping")
-	time.Sleep(leaveTime)
+	select {
+	case <-time.After(leaveTime):
+	case <-ctx.Done():
+	}
 	if err := r.app.ShutdownWithContext(ctx); err != nil {
 		r.config.Logger.Error("stopped with open answers", "err", err)
 	}
@@ -194,3 +197,6 @@
 	r.pool.Close()
 	r.wait.Wait()
 }
+
+// Version returns the version of the lists that is in force here.
+func (r *Router) Version() kcrid.Offset { return r.state.Version() }
--- a/sidecar/kcrsidecar/generate.go
+++ b/sidecar/kcrsidecar/generate.go
@@ -17,6 +17,12 @@
 // number of readers. The order of a run: a place at the limiter, a reservation
 // of the worst case, the upstream, the settlement.
 
+// Texts of refusals.
+const (
+	leavingText = "the upstream is leaving"
+	silentText  = "the upstream does not answer"
+)
+
 // settleTries is how often a run waits for the settlement of the one before.
 const settleTries = 5
 
@@ -59,7 +65,7 @@
 // admit refuses what must not start here.
 func (s *Sidecar) admit(r *kcrwire.Start, w *work) error {
 	if s.leaving() {
-		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: "the upstream is leaving", After: 1}
+		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, After: 1}
 	}
 	if _, banned := s.state.Suspected(w.content); banned {
 		return &kcrerror.Refusal{Code: kcrerror.Harmful, Text: "requests of this content crash their upstream"}
@@ -184,10 +190,11 @@
 	if err := budgetRefusal(ans); err != nil {
 		return g, err
 	}
+	s.settler.hold(g)
 	if err := s.meter.Begin(g.holder, g.id, ask.Plan, ask.Worst); err != nil {
+		s.settler.drop(g)
 		return g, &kcrerror.Refusal{Code: kcrerror.Unknowable, Text: err.Error(), After: 1}
 	}
-	s.settler.hold(g)
 	return g, nil
 }
 
@@ -235,7 +242,7 @@
 func (s *Sidecar) judge(err error, p *pass, complete bool) (state kcrbudget.State, outcome string, refusal error) {
 	switch {
 	case errors.Is(err, errUnsent):
-		return kcrbudget.Void, "unsent", &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: "the upstream does not answer", After: 1}
+		return kcrbudget.Void, "unsent", &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: silentText, After: 1}
 	case p.rejected:
 		s.gate.limiter.Rejected(s.clock.Now())
 		return kcrbudget.Void, "rejected", overloaded(kcrclock.Second)
@@ -310,7 +317,7 @@
 // repeatable passes on a call to a plain service that may be repeated.
 func (s *Sidecar) repeatable(ctx context.Context, r *kcrwire.Start, out *frames) error {
 	if s.leaving() {
-		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: "the upstream is leaving", After: 1}
+		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, After: 1}
 	}
 	t, err := s.gate.enter(ctx, r.GetRank(), false)
 	if err != nil {
@@ -327,7 +334,7 @@
 	})
 	switch {
 	case errors.Is(err, errUnsent):
-		return &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: "the upstream does not answer", After: 1}
+		return &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: silentText, After: 1}
 	case err != nil:
 		return &kcrerror.Refusal{Code: kcrerror.Broken, Text: err.Error(), Ran: true}
 	}
@@ -339,4 +346,3 @@
 		method: r.GetMethod(), path: r.GetPath(), kind: r.GetType(), key: r.GetKey(), body: r.GetBody(), rank: r.GetRank(),
 	}
 }
-
--- a/sidecar/kcrsidecar/homes.go
+++ b/sidecar/kcrsidecar/homes.go
@@ -169,15 +169,16 @@
 }
 
 // settle takes settlements for a holder of this process.
-func (h *homes) settle(holder, from kcrid.Incarnation, lines []kcrbudget.Line) (*kcrwire.Settled, bool) {
+func (h *homes) settle(holder, from kcrid.Incarnation, r kcrbudget.Report) (*kcrwire.Settled, bool) {
 	for _, bh := range h.all() {
 		if bh.home.Self() != holder {
 			continue
 		}
 		now := h.s.clock.Now()
 		h.hear(bh, from, now)
-		out := &kcrwire.Settled{Taken: bh.home.Settle(now, from, lines)}
-		for _, l := range lines {
+		receipt := bh.home.Settle(now, from, r)
+		out := &kcrwire.Settled{Taken: receipt.Taken, Last: receipt.Last}
+		for _, l := range r.Lines {
 			if h.bills.put(bh.bucket, from, l) {
 				out.Durable = append(out.Durable, l.ID)
 			}
--- a/sidecar/kcrsidecar/once.go
+++ b/sidecar/kcrsidecar/once.go
@@ -20,7 +20,7 @@
 
 const (
 	claimWait  = 2 * kcrclock.Second
-	finishWait = 10 * kcrclock.Second
+	finishWait = 5 * kcrclock.Second
 	intentPoll = 2 * time.Millisecond
 	keptBody   = 64 << 10
 )
@@ -29,7 +29,7 @@
 	call := kcrid.Call{Team: kcrid.Team(r.GetTeam()), Key: kcrid.Key(r.GetKey())}
 	digest := xxhash.Sum64(append([]byte(r.GetMethod()+" "+r.GetPath()+"\n"), r.GetBody()...))
 	if p, _ := s.desk.Ask(call); p == kcrintent.Waiting && s.leaving() {
-		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: "the upstream is leaving", After: 1}
+		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, After: 1}
 	}
 	t, err := s.gate.enter(ctx, r.GetRank(), false)
 	if err != nil {
@@ -37,23 +37,27 @@
 	}
 	defer s.gate.leave(t)
 	s.desk.Claim(call, kcrid.Offset(r.GetSeen()), digest)
-	progress, entry := s.await(ctx, call, claimWait, kcrintent.Waiting)
+	progress, entry := s.await(ctx, call, claimWait, unclaimedYet)
 	s.journal.Add(r.GetId(), "intent", "team", r.GetTeam(), "key", r.GetKey(), "progress", progress)
 	if progress == kcrintent.Mine && s.desk.Run(call) {
 		return s.runOnce(r, call, out)
 	}
-	if progress == kcrintent.Mine {
-		progress, entry = s.await(ctx, call, finishWait, kcrintent.Mine)
+	if unfinished(progress) {
+		progress, entry = s.await(ctx, call, finishWait, unfinished)
 	}
 	return s.report(r, call, digest, progress, entry, out)
 }
 
-// await waits until a call has got further than a stage.
-func (s *Sidecar) await(ctx context.Context, c kcrid.Call, limit kcrclock.Duration, stage kcrintent.Progress) (p kcrintent.Progress, e kcrintent.Call) {
+func unclaimedYet(p kcrintent.Progress) bool { return p == kcrintent.Waiting }
+
+func unfinished(p kcrintent.Progress) bool { return p == kcrintent.Mine || p == kcrintent.Elsewhere }
+
+// await waits while a call is at a stage.
+func (s *Sidecar) await(ctx context.Context, c kcrid.Call, limit kcrclock.Duration, stage func(kcrintent.Progress) bool) (p kcrintent.Progress, e kcrintent.Call) {
 	start := s.clock.Now()
 	for {
 		p, e = s.desk.Ask(c)
-		if p != stage || ctx.Err() != nil || s.clock.Now().Sub(start) > limit {
+		if !stage(p) || ctx.Err() != nil || s.clock.Now().Sub(start) > limit {
 			return p, e
 		}
 		time.Sleep(intentPoll)
@@ -143,11 +147,11 @@
 func (s *Sidecar) closeUnsent(call kcrid.Call) error {
 	s.desk.Release(call)
 	s.desk.Bar(call)
-	p, _ := s.await(context.Background(), call, claimWait, kcrintent.Mine)
+	p, _ := s.await(context.Background(), call, claimWait, unfinished)
 	if p == kcrintent.Refused {
 		return barred()
 	}
-	return &kcrerror.Refusal{Code: kcrerror.Unconfirmed, Text: "the upstream does not answer", Ran: true, After: 2}
+	return &kcrerror.Refusal{Code: kcrerror.Unconfirmed, Text: silentText, Ran: true, After: 2}
 }
 
 // answerBar makes a call not runnable, for a router that gives it up.
@@ -157,9 +161,9 @@
 	}
 	call := kcrid.Call{Team: kcrid.Team(r.GetTeam()), Key: kcrid.Key(r.GetKey())}
 	s.desk.Bar(call)
-	p, _ := s.await(ctx, call, claimWait, kcrintent.Waiting)
-	if p == kcrintent.Mine {
-		p, _ = s.await(ctx, call, claimWait, kcrintent.Mine)
+	p, _ := s.await(ctx, call, claimWait, unclaimedYet)
+	if unfinished(p) {
+		p, _ = s.await(ctx, call, claimWait, unfinished)
 	}
 	code := "unknown"
 	if p == kcrintent.Refused {
--- a/sidecar/kcrsidecar/serve.go
+++ b/sidecar/kcrsidecar/serve.go
@@ -51,7 +51,7 @@
 }
 
 func (s *Sidecar) answerReserve(ctx context.Context, r *kcrwire.Reserve) (*kcrwire.Reply, error) {
-	if r.GetKey() == "" || r.GetPlan() == "" || r.GetServer() == "" || r.GetWorst() <= 0 || r.GetWorst() > int64(kcrlist.MaxTokens) {
+	if r.GetKey() == "" || r.GetPlan() == "" || r.GetServer() == "" || r.GetWorst() <= 0 || r.GetWorst() > kcrlist.MaxTokens {
 		return nil, errors.New("reserve: expected a key, a plan, a server and a positive amount")
 	}
 	ans, holder := s.homes.reserve(ctx, kcrbudget.Ask{
@@ -65,14 +65,14 @@
 }
 
 func (s *Sidecar) answerSettle(r *kcrwire.Settle) (*kcrwire.Reply, error) {
-	lines := make([]kcrbudget.Line, 0, len(r.GetLines()))
+	report := kcrbudget.Report{Held: r.GetHeld(), Floor: r.GetFloor()}
 	for _, l := range r.GetLines() {
-		lines = append(lines, kcrbudget.Line{
+		report.Lines = append(report.Lines, kcrbudget.Line{
 			ID: l.GetId(), Call: kcrid.Call{Team: kcrid.Team(l.GetTeam()), Key: kcrid.Key(l.GetKey())},
 			Plan: kcrid.Plan(l.GetPlan()), Tokens: kcrid.Tokens(l.GetTokens()), State: kcrbudget.State(l.GetState()),
 		})
 	}
-	out, ok := s.homes.settle(kcrid.Incarnation(r.GetHolder()), kcrid.Incarnation(r.GetServer()), lines)
+	out, ok := s.homes.settle(kcrid.Incarnation(r.GetHolder()), kcrid.Incarnation(r.GetServer()), report)
 	if !ok {
 		return nil, errors.New("settle: no such holder here")
 	}
--- a/sidecar/kcrsidecar/settle.go
+++ b/sidecar/kcrsidecar/settle.go
@@ -24,49 +24,86 @@
 	settleTick   = 200 * time.Millisecond
 	settleRetry  = 2 * kcrclock.Second
 	settleGiveUp = 30 * kcrclock.Second
+	signOfLife   = 2 * kcrclock.Second
 	billTick     = 500 * time.Millisecond
 )
 
 // owed is a line that is not known to be on the log.
 type owed struct {
-	grant grant
 	line  kcrbudget.Line
 	at    kcrclock.Time
 	next  kcrclock.Time
+	taken bool
+}
+
+// account is what this sidecar has with one holder.
+type account struct {
+	addr  string
+	owed  map[uint64]*owed
+	held  map[uint64]bool // reservations whose run goes on
+	floor uint64          // newest reservation that the holder has given
+	told  kcrclock.Time
 }
 
 // settler sends settlements.
 type settler struct {
 	s      *Sidecar
 	bills  *billbox
+	wake   chan struct{}
 	cancel context.CancelFunc
 	wait   conc.WaitGroup
 
-	mu   sync.Mutex
-	owed map[grant]*owed
-	held map[grant]bool // reservations whose run goes on
+	mu       sync.Mutex
+	accounts map[kcrid.Incarnation]*account
 }
 
 func newSettler(s *Sidecar, log kcrlog.Log) *settler {
 	ctx, cancel := context.WithCancel(context.Background())
 	st := &settler{
-		s: s, cancel: cancel, owed: map[grant]*owed{}, held: map[grant]bool{},
+		s: s, cancel: cancel, wake: make(chan struct{}, 1), accounts: map[kcrid.Incarnation]*account{},
 		bills: newBillbox(s.self+"/settle", log, s.config.Logger),
 	}
-	st.wait.Go(func() {
-		for ctx.Err() == nil {
-			time.Sleep(settleTick)
-			st.flush(ctx)
-		}
-	})
+	st.wait.Go(func() { st.loop(ctx) })
 	return st
 }
 
-// hold notes a reservation whose run goes on, so that its home hears of it.
+func (st *settler) loop(ctx context.Context) {
+	t := time.NewTicker(settleTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-st.wake:
+		}
+		st.flush(ctx)
+	}
+}
+
+func (st *settler) account(g grant) *account {
+	a, ok := st.accounts[g.holder]
+	if !ok {
+		a = &account{owed: map[uint64]*owed{}, held: map[uint64]bool{}}
+		st.accounts[g.holder] = a
+	}
+	a.addr = g.addr
+	return a
+}
+
+// hold notes a reservation whose run goes on. It must be called before the run
+// begins at the meter.
 func (st *settler) hold(g grant) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.held[g] = true
+	st.account(g).held[g.id] = true
+}
+
+// drop forgets a reservation whose run could not begin.
+func (st *settler) drop(g grant) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	delete(st.account(g).held, g.id)
 }
 
 // put queues the settlement of a run.
@@ -74,72 +111,78 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	l.ID = g.id
-	delete(st.held, g)
+	a := st.account(g)
+	delete(a.held, g.id)
 	now := st.s.clock.Now()
-	st.owed[g] = &owed{grant: g, line: l, at: now, next: now}
+	a.owed[g.id] = &owed{line: l, at: now, next: now}
+	select {
+	case st.wake <- struct{}{}:
+	default:
+	}
 }
 
 // owes tells whether a reservation was used and is not settled yet.
 func (st *settler) owes(g grant) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.owed[g] != nil
+	a := st.accounts[g.holder]
+	return a != nil && a.owed[g.id] != nil && !a.owed[g.id].taken
 }
 
-// batch collects what is due by holder. Holders of running reservations get an
-// empty batch now and then as a sign of life.
-func (st *settler) batch(now kcrclock.Time) map[kcrid.Incarnation][]*owed {
+// due returns the holders that have something to be told.
+func (st *settler) due(now kcrclock.Time) (out []kcrid.Incarnation) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	out := map[kcrid.Incarnation][]*owed{}
-	for _, o := range st.owed {
-		if o.next <= now {
-			o.next = now.Add(settleRetry)
-			out[o.grant.holder] = append(out[o.grant.holder], o)
+	for holder, a := range st.accounts {
+		due := len(a.held) > 0 && now.Sub(a.told) > signOfLife
+		for _, o := range a.owed {
+			due = due || o.next <= now
 		}
-	}
-	if int64(now)/1000%2 == 0 {
-		for g := range st.held {
-			if out[g.holder] == nil {
-				out[g.holder] = []*owed{{grant: g}}
-			}
+		if due {
+			out = append(out, holder)
 		}
 	}
 	return out
 }
 
-func (st *settler) flush(ctx context.Context) {
-	now := st.s.clock.Now()
-	for holder, lines := range st.batch(now) {
-		st.send(ctx, now, holder, lines)
+// report takes stock for one holder. From then on no reservation up to the
+// floor begins here that is not in the report.
+func (st *settler) report(now kcrclock.Time, holder kcrid.Incarnation) (addr string, r kcrbudget.Report) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	a := st.accounts[holder]
+	a.told = now
+	r.Floor = a.floor
+	st.s.meter.Bar(holder, r.Floor)
+	for id := range a.held {
+		r.Held = append(r.Held, id)
+	}
+	for _, o := range a.owed {
+		o.next = now.Add(settleRetry)
+		r.Lines = append(r.Lines, o.line)
 	}
+	return a.addr, r
 }
 
-func (st *settler) send(ctx context.Context, now kcrclock.Time, holder kcrid.Incarnation, batch []*owed) {
-	var lines []kcrbudget.Line
-	for _, o := range batch {
-		if o.line.Call.Key != "" {
-			lines = append(lines, o.line)
+func (st *settler) flush(ctx context.Context) {
+	now := st.s.clock.Now()
+	for _, holder := range st.due(now) {
+		addr, report := st.report(now, holder)
+		settled, err := st.deliver(ctx, holder, addr, report)
+		if err != nil {
+			st.giveUp(now, holder)
+			continue
 		}
-	}
-	settled, err := st.deliver(ctx, holder, batch[0].grant.addr, lines)
-	if err == nil {
 		st.taken(holder, settled)
-		return
-	}
-	for _, o := range batch {
-		if o.line.Call.Key != "" && now.Sub(o.at) > settleGiveUp {
-			st.writeSelf(o)
-		}
 	}
 }
 
-func (st *settler) deliver(ctx context.Context, holder kcrid.Incarnation, addr string, lines []kcrbudget.Line) (*kcrwire.Settled, error) {
-	if settled, ok := st.s.homes.settle(holder, st.s.self, lines); ok {
+func (st *settler) deliver(ctx context.Context, holder kcrid.Incarnation, addr string, r kcrbudget.Report) (*kcrwire.Settled, error) {
+	if settled, ok := st.s.homes.settle(holder, st.s.self, r); ok {
 		return settled, nil
 	}
-	msg := &kcrwire.Settle{Server: string(st.s.self), Holder: string(holder)}
-	for _, l := range lines {
+	msg := &kcrwire.Settle{Server: string(st.s.self), Holder: string(holder), Held: r.Held, Floor: r.Floor}
+	for _, l := range r.Lines {
 		msg.Lines = append(msg.Lines, &kcrwire.Line{
 			Id: l.ID, Team: string(l.Call.Team), Key: string(l.Call.Key),
 			Plan: string(l.Plan), Tokens: int64(l.Tokens), State: string(l.State),
@@ -157,34 +200,51 @@
 func (st *settler) taken(holder kcrid.Incarnation, r *kcrwire.Settled) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	a := st.accounts[holder]
+	a.floor = max(a.floor, r.GetLast())
 	for _, id := range r.GetDurable() {
-		for g := range st.owed {
-			if g.holder == holder && g.id == id {
-				delete(st.owed, g)
-				st.s.meter.Settled(holder, id)
-			}
+		delete(a.owed, id)
+	}
+	for _, id := range r.GetTaken() {
+		if o := a.owed[id]; o != nil {
+			o.taken = true
 		}
 	}
 }
 
-// writeSelf puts a line on the statement whose home does not answer.
-func (st *settler) writeSelf(o *owed) {
-	bucket := kcrid.BucketOf(o.line.Plan, st.s.config.Settings.Buckets)
-	if !st.bills.put(bucket, st.s.self, o.line) {
-		return
+// giveUp writes lines that are owed for long to the statement from here.
+func (st *settler) giveUp(now kcrclock.Time, holder kcrid.Incarnation) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	a := st.accounts[holder]
+	for id, o := range a.owed {
+		if now.Sub(o.at) > settleGiveUp && st.bills.put(st.bucket(o.line.Plan), st.s.self, o.line) {
+			delete(a.owed, id)
+		}
 	}
+	if len(a.owed)+len(a.held) == 0 {
+		delete(st.accounts, holder)
+	}
+}
+
+func (st *settler) bucket(p kcrid.Plan) kcrid.Bucket {
+	return kcrid.BucketOf(p, st.s.config.Settings.Buckets)
+}
+
+// left returns the number of lines that are not known to be on the log.
+func (st *settler) left() (n int) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	delete(st.owed, o.grant)
+	for _, a := range st.accounts {
+		n += len(a.owed)
+	}
+	return n
 }
 
 // drain waits until every line is on the log, or the context ends.
 func (st *settler) drain(ctx context.Context) {
 	for ctx.Err() == nil {
-		st.mu.Lock()
-		left := len(st.owed)
-		st.mu.Unlock()
-		if left == 0 {
+		if st.left() == 0 {
 			return
 		}
 		time.Sleep(settleTick)
--- a/sidecar/kcrsidecar/upstream.go
+++ b/sidecar/kcrsidecar/upstream.go
@@ -19,7 +19,6 @@
 
 var (
 	errUnsent  = errors.New("the upstream got nothing")
-	errRefused = errors.New("the upstream has no capacity")
 	errPartial = errors.New("the upstream broke the answer off")
 )
 
--- a/standin/kcrstandin/log.go
+++ b/standin/kcrstandin/log.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -196,6 +195,5 @@
 
 // hangUp closes the connection without an answer.
 func hangUp(c fiber.Ctx) error {
-	var conn net.Conn = c.RequestCtx().Conn()
-	return conn.Close()
+	return c.RequestCtx().Conn().Close()
 }
