--- a/bench/kcrproof/mutants.go
+++ b/bench/kcrproof/mutants.go
@@ -4,18 +4,35 @@
 	"kingcuprun.example/kernel/kcrid"
 )
 
-// This file lists the mutants of the budget proof: each takes one safeguard
-// out, and the proof must then find a violation.
+// This file defines mutants, each of which takes one safeguard out, and lists
+// those of the budget proof. A proof must find a violation for each.
 
-// BudgetMutant is a named change to the rules.
-type BudgetMutant struct {
+// team is the team of all calls in a proof.
+const team = "team"
+
+// Mutant is a named change to the rules of a proof.
+type Mutant[R any] struct {
 	Name   string
-	Change func(*BudgetRules)
+	Change func(*R)
+}
+
+// Check runs one schedule of a proof. Work counts what it did.
+type Check[R any] func(rules R, pick Pick, steps int) (work int, err error)
+
+// breakMutant returns the first seed that shows a violation.
+func breakMutant[R any](rules R, m Mutant[R], check Check[R], seeds, steps int) (seed uint64, err error) {
+	m.Change(&rules)
+	for seed = range uint64(seeds) {
+		if _, err = check(rules, Seeded(seed), steps); err != nil {
+			return seed, err
+		}
+	}
+	return 0, nil
 }
 
 // BudgetMutants returns the mutants.
-func BudgetMutants() []BudgetMutant {
-	return []BudgetMutant{
+func BudgetMutants() []Mutant[BudgetRules] {
+	return []Mutant[BudgetRules]{
 		{"a claim gets what it asks for", func(r *BudgetRules) {
 			r.Ledger.Grant = func(_, want kcrid.Tokens) kcrid.Tokens { return want }
 		}},
--- /dev/null
+++ b/bench/kcrproof/splice.go
@@ -0,0 +1,98 @@
+package kcrproof
+
+import (
+	"bytes"
+	"fmt"
+
+	"kingcuprun.example/kernel/kcranswer"
+)
+
+// This file proves that a caller gets its own whole answer or learns that it
+// did not: frames come late, twice, out of order, from other attempts, or not
+// at all.
+
+// Splice runs one schedule and returns the first violation. Whole is the
+// number of whole answers.
+func Splice(rules kcranswer.SpliceRules, pick Pick, rounds int) (whole int, err error) {
+	for range rounds {
+		ok, err := spliceRound(rules, pick)
+		if err != nil {
+			return whole, err
+		}
+		if ok {
+			whole++
+		}
+	}
+	return whole, nil
+}
+
+// attemptFrames returns the frames of an attempt and its bytes.
+func attemptFrames(pick Pick, a kcranswer.Attempt) (frames []kcranswer.Frame, want []byte) {
+	frames = append(frames, kcranswer.Frame{Attempt: a})
+	for i := range pick(5) {
+		data := bytes.Repeat([]byte{byte('a' + int(a)*7 + i)}, 1+pick(2))
+		frames = append(frames, kcranswer.Frame{Attempt: a, Seq: uint64(i + 1), Data: data})
+		want = append(want, data...)
+	}
+	frames = append(frames, kcranswer.Frame{Attempt: a, Seq: uint64(len(frames)), End: true, Bytes: uint64(len(want))})
+	return frames, want
+}
+
+// disturb drops, repeats and moves frames, and mixes in those of others.
+func disturb(pick Pick, frames []kcranswer.Frame) []kcranswer.Frame {
+	others, _ := attemptFrames(pick, 2)
+	for range pick(4) {
+		i := pick(len(frames))
+		switch pick(4) {
+		case 0:
+			frames = append(frames[:i:i], frames[i+1:]...)
+		case 1:
+			frames = append(frames[:i+1:i+1], frames[i:]...)
+		case 2:
+			j := pick(len(frames))
+			frames[i], frames[j] = frames[j], frames[i]
+		default:
+			frames = append(frames[:i:i], append([]kcranswer.Frame{others[pick(len(others))]}, frames[i:]...)...)
+		}
+		if len(frames) == 0 {
+			break
+		}
+	}
+	return frames
+}
+
+func spliceRound(rules kcranswer.SpliceRules, pick Pick) (whole bool, err error) {
+	frames, want := attemptFrames(pick, 1)
+	s := kcranswer.NewSplice(rules, 1)
+	var got []byte
+	for _, f := range disturb(pick, frames) {
+		step, _ := s.Take(f)
+		switch step {
+		case kcranswer.Pass:
+			got = append(got, f.Data...)
+		case kcranswer.Whole:
+			if !bytes.Equal(got, want) {
+				return false, fmt.Errorf("expected the whole answer %q, got %q", want, got)
+			}
+			return true, nil
+		case kcranswer.Gap:
+			return false, nil
+		}
+		if !bytes.HasPrefix(want, got) {
+			return false, fmt.Errorf("expected a part of %q, got %q", want, got)
+		}
+	}
+	return false, nil
+}
+
+// SpliceMutants returns the mutants of this proof.
+func SpliceMutants() []Mutant[kcranswer.SpliceRules] {
+	return []Mutant[kcranswer.SpliceRules]{
+		{"a frame of another attempt is passed on", func(r *kcranswer.SpliceRules) {
+			r.SameAttempt = func(_, _ kcranswer.Attempt) bool { return true }
+		}},
+		{"a frame out of order is passed on", func(r *kcranswer.SpliceRules) {
+			r.InOrder = func(_, _ uint64) bool { return true }
+		}},
+	}
+}
--- a/bench/kcrproof/world.go
+++ b/bench/kcrproof/world.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"slices"
 
-
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
@@ -118,12 +117,12 @@
 
 	deadServers []kcrid.Incarnation
 	deadHomes   map[kcrid.Incarnation]bool
-	broken  error
+	broken      error
 }
 
 // Budget runs one schedule of so many steps and returns the first violation.
 // Served is the number of tokens served, to show that the run did something.
-func Budget(rules BudgetRules, pick Pick, steps int) (served kcrid.Tokens, err error) {
+func Budget(rules BudgetRules, pick Pick, steps int) (served int, err error) {
 	w := &world{
 		pick: pick, rules: rules, bills: kcrbudget.NewStatement(planName(0)),
 		served: map[kcrid.Plan]kcrid.Tokens{}, prepaid: map[kcrid.Plan]kcrid.Tokens{},
@@ -146,7 +145,7 @@
 		w.step(calm)
 	}
 	for _, t := range w.served {
-		served += t
+		served += int(t)
 	}
 	if w.broken == nil {
 		w.checkBills()
@@ -333,7 +332,7 @@
 	}
 	n := w.calls - w.pick(min(w.calls, 4))
 	ask := kcrbudget.Ask{
-		Call: kcrid.Call{Team: "team", Key: kcrid.Key(fmt.Sprint(n))}, Plan: planName(n % worldPlans),
+		Call: kcrid.Call{Team: team, Key: kcrid.Key(fmt.Sprint(n))}, Plan: planName(n % worldPlans),
 		Server: s.name, Worst: worstTokens >> w.pick(4), Last: true, Rerun: w.pick(8) == 0,
 	}
 	w.serial++
@@ -634,4 +633,3 @@
 	_, _ = fmt.Sscan(string(c.Key), &n)
 	return planName(n % worldPlans)
 }
-
--- a/kernel/kcranswer/splice.go
+++ b/kernel/kcranswer/splice.go
@@ -41,7 +41,6 @@
 type SpliceRules struct {
 	SameAttempt func(want, got Attempt) bool
 	InOrder     func(want, got uint64) bool
-	Counted     func(passed, claimed uint64) bool
 }
 
 // DefaultSpliceRules returns the rules that hold in production.
@@ -49,7 +48,6 @@
 	return SpliceRules{
 		SameAttempt: func(want, got Attempt) bool { return want == got },
 		InOrder:     func(want, got uint64) bool { return want == got },
-		Counted:     func(passed, claimed uint64) bool { return passed == claimed },
 	}
 }
 
@@ -74,7 +72,7 @@
 		return Skip, nil
 	case f.Seq < s.next && !s.rules.InOrder(s.next, f.Seq):
 		return Skip, nil
-	case !s.rules.InOrder(s.next, f.Seq):
+	case f.Seq > s.next && !s.rules.InOrder(s.next, f.Seq):
 		return Gap, fmt.Errorf("answer: expected frame %d, got %d", s.next, f.Seq)
 	}
 	s.next++
@@ -83,7 +81,7 @@
 		return Pass, nil
 	}
 	s.ended = true
-	if !s.rules.Counted(s.passed, f.Bytes) {
+	if s.passed != f.Bytes {
 		return Gap, fmt.Errorf("answer: expected %d bytes, got %d", f.Bytes, s.passed)
 	}
 	return Whole, nil
--- a/kernel/kcrlist/state.go
+++ b/kernel/kcrlist/state.go
@@ -32,11 +32,15 @@
 // Rules are the decisions of the fold that a test can take out.
 type Rules struct {
 	Replaces func(current, base kcrid.Offset) bool
+	Newer    func(current, snapshot kcrid.Offset) bool
 }
 
 // DefaultRules returns the rules that hold in production.
 func DefaultRules() Rules {
-	return Rules{Replaces: func(current, base kcrid.Offset) bool { return current == base }}
+	return Rules{
+		Replaces: func(current, base kcrid.Offset) bool { return current == base },
+		Newer:    func(current, snapshot kcrid.Offset) bool { return snapshot > current },
+	}
 }
 
 // State is the configuration in force. Its methods are safe for concurrent use.
@@ -255,7 +259,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if img.At <= s.at {
+	if !s.rules.Newer(s.at, img.At) {
 		return false, nil
 	}
 	fresh := NewState(s.rules)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,7 +18,7 @@
 stop_all() {
 	for p in "${pid[@]}"; do kill -KILL "$p" 2>/dev/null || true; done
 	wait 2>/dev/null || true
-	rm -rf "$logs"
+	[ -n "${KEEP_LOGS:-}" ] || rm -rf "$logs"
 }
 trap stop_all EXIT
 
