Histories of whole deployments under faults, and what they found

Found and mended:

- A resume after a failed resume used a stream that was not there (panic).
- A request crashed three upstreams: the retry came before the log told the others.
Routers now remember the content and say so; at most 2 crashes.
- A second sidecar could not serve from a home during a log outage, since it was not open; homes now open the sidecars of their region ahead of need.
A stop now waits 30 s for the log once all requests are finished.

--- /dev/null
+++ b/bench/kcrrig/answer_test.go
@@ -0,0 +1,161 @@
+package kcrrig
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/sourcegraph/conc/pool"
+
+	"kingcuprun.example/bench/kcrcaller"
+	"kingcuprun.example/kernel/kcrlist"
+)
+
+const answerCallers = 12
+
+// Every answer is the caller's own: whole, or a true beginning and an error.
+func TestOwnWholeAnswersUnderFaults(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 2, Engines: 3, Plains: 0, Tokens: 10_000_000})
+	var whole, broken, refused atomic.Int64
+	var over atomic.Bool
+	callers := pool.New()
+	for id := range answerCallers {
+		callers.Go(func() {
+			c := kcrcaller.New(APIKey)
+			for n := 0; !over.Load(); n++ {
+				content := fmt.Sprintf("caller %d request %d want=%d", id, n, 20+(id*7+n*13)%60)
+				stream := n%2 == 0
+				a := c.Chat(context.Background(), r.Settings.Routers[n%2].Listen, Model, content, "", stream)
+				want := expected(content)
+				switch {
+				case a.Whole(stream) && a.Text(stream) == want:
+					whole.Add(1)
+				case a.Whole(stream):
+					t.Errorf("%s: expected %q, got %q", content, want, a.Text(stream))
+				case a.Status == 200 && !strings.HasPrefix(want, a.Text(stream)):
+					t.Errorf("%s: expected a part of %q, got %q", content, want, a.Text(stream))
+				case a.Status == 200:
+					broken.Add(1)
+				default:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	for i := range 6 {
+		time.Sleep(faultTime)
+		addr := r.Settings.Upstreams[i%3].Listen
+		r.Pool(r.Settings.Routers[i%2].VM).SetCut(func(a string) bool { return a == addr })
+		time.Sleep(faultTime / 2)
+		r.Pool(r.Settings.Routers[i%2].VM).SetCut(func(string) bool { return false })
+		c := kcrcaller.New(APIKey)
+		if i%3 == 2 {
+			c.Chat(context.Background(), r.Settings.Routers[0].Listen, Model, fmt.Sprint("crash-the-engine ", i), "", true)
+		}
+	}
+	over.Store(true)
+	callers.Wait()
+	t.Logf("whole %d, broken %d, refused %d", whole.Load(), broken.Load(), refused.Load())
+	if whole.Load() == 0 {
+		t.Error("expected whole answers, got none")
+	}
+}
+
+// The published client gets through without changes.
+func TestOpenAIClient(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 1, Engines: 1, Plains: 0, Tokens: 10_000})
+	client := openai.NewClient(option.WithBaseURL("http://"+r.Settings.Routers[0].Listen+"/v1"), option.WithAPIKey(APIKey))
+	params := openai.ChatCompletionNewParams{
+		Model: Model, Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello want=4")},
+	}
+	whole, err := client.Chat.Completions.New(context.Background(), params)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream := client.Chat.Completions.NewStreaming(context.Background(), params)
+	var acc openai.ChatCompletionAccumulator
+	for stream.Next() {
+		acc.AddChunk(stream.Current())
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := acc.Choices[0].Message.Content, whole.Choices[0].Message.Content; got != want || want == "" {
+		t.Errorf("expected the same text streamed and whole, got %q and %q", got, want)
+	}
+	if acc.Usage.CompletionTokens != 4 {
+		t.Errorf("expected a usage of 4 tokens, got %d", acc.Usage.CompletionTokens)
+	}
+	models, err := client.Models.List(context.Background())
+	if err != nil || len(models.Data) != 1 {
+		t.Errorf("expected one model, got %v (%v)", models, err)
+	}
+}
+
+// A retry of a key rejoins its answer, through another router as well.
+func TestRetryRejoins(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 2, Engines: 3, Plains: 0, Tokens: 100_000})
+	ctx := context.Background()
+	callers := pool.New()
+	for i := range 8 {
+		callers.Go(func() {
+			c := kcrcaller.New(APIKey)
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			a := c.Chat(ctx, r.Settings.Routers[i%2].Listen, Model, "same want=80", "same-key", true)
+			if !a.Whole(true) || a.Text(true) != expected("same want=80") {
+				t.Errorf("caller %d: expected the whole answer, got %d %s", i, a.Status, a.Code)
+			}
+		})
+	}
+	callers.Wait()
+	runs := 0
+	for _, e := range r.Engines {
+		runs += e.Ran("same-key")
+	}
+	if runs != 1 {
+		t.Errorf("expected 1 run, got %d", runs)
+	}
+}
+
+// The five refusals about budgets and plans differ, and each is true.
+func TestTruthfulRefusals(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 1, Engines: 1, Plains: 1, Tokens: 200})
+	addr, ctx := r.Settings.Routers[0].Listen, context.Background()
+	c := kcrcaller.New(APIKey)
+	tests := []struct {
+		name string
+		got  kcrcaller.Answer
+		code string
+	}{
+		{"unknown key", kcrcaller.New("nobody").Chat(ctx, addr, Model, "x", "", false), "invalid_api_key"},
+		{"unknown model", c.Chat(ctx, addr, "none", "x", "", false), "model_not_found"},
+		{"used up", c.Chat(ctx, addr, Model, "x", "", false), "budget_used_up"},
+		{"malformed", c.Do(ctx, "POST", addr, "/v1/chat/completions", "", []byte("{")), "invalid_request"},
+		{"no messages", c.Do(ctx, "POST", addr, "/v1/chat/completions", "", []byte(`{"model":"m"}`)), "invalid_request"},
+	}
+	for _, test := range tests {
+		if test.got.Code != test.code || test.got.Outcome != "not_run" {
+			t.Errorf("%s: expected %s, not_run; got %d %s", test.name, test.code, test.got.Status, test.got.Body)
+		}
+	}
+	if err := r.Publish(kcrlist.Topup{Name: "first", Tokens: 200}, kcrlist.Topup{Name: "second", Tokens: 10_000}); err != nil {
+		t.Fatal(err)
+	}
+	a := c.Chat(ctx, addr, Model, "x", "", false)
+	for i := 0; i < 50 && !a.Whole(false); i++ {
+		time.Sleep(faultTime / 10)
+		a = c.Chat(ctx, addr, Model, "x", "", false)
+	}
+	if !a.Whole(false) {
+		t.Errorf("expected an answer after the top-up, got %d %s", a.Status, a.Body)
+	}
+}
--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -37,6 +39,9 @@
 	Team    = kcrid.Team("team")
 )
 
+// reserve is the most tokens of an answer whose request names no limit.
+const reserve = 256
+
 // Size says how much a rig has of each.
 type Size struct {
 	Routers int
@@ -66,35 +71,37 @@
 	items  map[kcrid.Plan]kcrlist.Item
 }
 
-// free returns an address on loopback that nothing listens on.
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+// rigs counts the rigs of this process; each has a loopback address of its
+// own, so that rigs which run side by side do not take each other's ports.
+var rigs atomic.Uint32
+
+// firstPort is below the range from which systems pick ports for clients.
+const firstPort = 20000
+
+// addresses hands out addresses of one rig.
+type addresses struct {
+	ip   netip.Addr
+	port uint16
 }
 
-// addresses hands out free addresses.
-type addresses struct{ err error }
+func newAddresses() *addresses {
+	n := rigs.Add(1)
+	return &addresses{ip: netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(n >> 7), byte(1 + n%128)}), port: firstPort}
+}
 
 func (a *addresses) next() string {
-	addr, err := free()
-	if err != nil {
-		a.err = err
-	}
-	return addr
+	a.port++
+	return netip.AddrPortFrom(a.ip, a.port).String()
 }
 
 // settings describes a deployment of a size.
-func settings(size Size) (*kcrsettings.Settings, error) {
-	a := &addresses{}
+func settings(size Size) *kcrsettings.Settings {
+	a := newAddresses()
 	zones := []kcrid.Zone{"zone-a", "zone-b", "zone-c"}
 	s := &kcrsettings.Settings{
 		Region: "region", Zones: zones, Log: a.next(), VMs: a.next(), Buckets: 4, Route: "cost", Escrow: "demand",
 		Services: []kcrsettings.Service{
-			{Name: Model, Kind: kcrsettings.Engine, Models: []kcrid.Model{Model}, Reserve: 256},
+			{Name: Model, Kind: kcrsettings.Engine, Models: []kcrid.Model{Model}, Reserve: reserve},
 			{Name: Service, Kind: kcrsettings.Plain},
 		},
 	}
@@ -113,7 +120,7 @@
 	}
 	add(Model, size.Engines)
 	add(Service, size.Plains)
-	return s, a.err
+	return s
 }
 
 // New starts a rig and publishes one plan that may use everything.
@@ -121,10 +128,7 @@
 	if size.Logger == nil {
 		size.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
 	}
-	s, err := settings(size)
-	if err != nil {
-		return nil, err
-	}
+	s := settings(size)
 	r = &Rig{
 		Settings: s, Log: kcrstandin.NewLog(), VMs: kcrstandin.NewVMs(size.Lag, kcrstandin.Listed(s)),
 		Effects: kcrstandin.NewEffects(), pools: map[kcrid.VM]*kcrlink.Pool{}, size: size,
--- a/bench/kcrrig/rig_test.go
+++ b/bench/kcrrig/rig_test.go
@@ -21,13 +21,14 @@
 	return r
 }
 
-func expected(content string, most int) string {
+// expected returns the text that the engines answer to a message.
+func expected(content string) string {
 	body := kcrcaller.ChatBody(Model, content, false)
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
 		panic(err)
 	}
-	return strings.Join(kcrstandin.Words(fields["messages"], most), "")
+	return strings.Join(kcrstandin.Words(fields["messages"], reserve), "")
 }
 
 func TestWholePath(t *testing.T) {
@@ -37,7 +38,7 @@
 	for i, stream := range []bool{false, true, false, true} {
 		addr := r.Settings.Routers[i%2].Listen
 		a := c.Chat(ctx, addr, Model, "hello", "", stream)
-		if !a.Whole(stream) || a.Text(stream) != expected("hello", 256) {
+		if !a.Whole(stream) || a.Text(stream) != expected("hello") {
 			t.Errorf("stream %v: expected the whole answer, got %d %s (%v)", stream, a.Status, a.Body, a.Err)
 		}
 	}
--- /dev/null
+++ b/bench/kcrrig/stop_test.go
@@ -0,0 +1,243 @@
+package kcrrig
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"kingcuprun.example/bench/kcrcaller"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/standin/kcrstandin"
+)
+
+func (r *Rig) runs(engine int, keys int, prefix string) (n int) {
+	for i := range keys {
+		n += r.Engines[engine].Ran(fmt.Sprint(prefix, i))
+	}
+	return n
+}
+
+// A leaving upstream gets no new work, though the VM list is stale and the
+// routers have not heard of it.
+func TestLeavingGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 2, Engines: 2, Plains: 0, Tokens: 1_000_000, Lag: time.Hour})
+	c, ctx := kcrcaller.New(APIKey), context.Background()
+	if err := r.Operator.Leave(ctx, "assistant-llm-1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	const calls = 40
+	for i := range calls {
+		a := c.Chat(ctx, r.Settings.Routers[i%2].Listen, Model, fmt.Sprintf("text %d want=5", i), fmt.Sprint("after", i), i%2 == 0)
+		if !a.Whole(i%2 == 0) {
+			t.Errorf("call %d: expected an answer, got %d %s", i, a.Status, a.Body)
+		}
+	}
+	if n := r.runs(0, calls, "after"); n != 0 {
+		t.Errorf("expected no new work at the leaving upstream, got %d", n)
+	}
+	if n := r.runs(1, calls, "after"); n != calls {
+		t.Errorf("expected %d runs at the other, got %d", calls, n)
+	}
+}
+
+// balancer sends to routers that are not stopping, as the platform's does.
+type balancer struct {
+	mu   sync.Mutex
+	out  map[int]bool
+	next int
+}
+
+func (b *balancer) pick(n int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		b.next++
+		if i := b.next % n; !b.out[i] {
+			return i
+		}
+	}
+}
+
+func (b *balancer) set(i int, out bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.out[i] = out
+}
+
+// Replacing every process under load, one after the other, fails no request.
+func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 2, Engines: 3, Plains: 2, Tokens: 10_000_000})
+	b := &balancer{out: map[int]bool{}}
+	var over atomic.Bool
+	var served atomic.Int64
+	callers := pool.New()
+	for id := range 6 {
+		callers.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				rollingCall(t, r, b, id, n)
+				served.Add(1)
+			}
+		})
+	}
+	ctx := context.Background()
+	for i := range r.Settings.Upstreams {
+		time.Sleep(faultTime)
+		r.Sidecars[i].Stop(ctx)
+		sc, err := r.StartSidecar(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Sidecars[i] = sc
+		time.Sleep(2 * time.Second)
+	}
+	for i := range r.Settings.Routers {
+		b.set(i, true)
+		r.Routers[i].Stop(ctx)
+		rt, err := r.StartRouter(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Routers[i] = rt
+		for rt.Version() == 0 {
+			time.Sleep(settlePause)
+		}
+		b.set(i, false)
+	}
+	over.Store(true)
+	callers.Wait()
+	t.Logf("%d requests while every process was replaced", served.Load())
+}
+
+func rollingCall(t *testing.T, r *Rig, b *balancer, id, n int) {
+	c := kcrcaller.New(APIKey)
+	addr := r.Settings.Routers[b.pick(2)].Listen
+	if n%5 == 0 {
+		key := fmt.Sprintf("roll-%d-%d", id, n)
+		a := c.Do(context.Background(), http.MethodPost, addr, "/services/"+Service+"/book", key, nil)
+		if a.Status != http.StatusOK {
+			t.Errorf("%s: expected an answer, got %d %s (%v)", key, a.Status, a.Body, a.Err)
+		}
+		return
+	}
+	content, stream := fmt.Sprintf("roll %d %d want=30", id, n), n%2 == 0
+	a := c.Chat(context.Background(), addr, Model, content, "", stream)
+	if !a.Whole(stream) || a.Text(stream) != expected(content) {
+		t.Errorf("%s: expected the whole answer, got %d %s (%v)", content, a.Status, a.Body, a.Err)
+	}
+}
+
+// A router that starts while the log is down learns the configuration from
+// its peers, and requests are served from grants.
+func TestStartDuringLogOutage(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 2, Engines: 2, Plains: 0, Tokens: 1_000_000})
+	c, ctx := kcrcaller.New(APIKey), context.Background()
+	if a := c.Chat(ctx, r.Settings.Routers[0].Listen, Model, "before", "", false); !a.Whole(false) {
+		t.Fatalf("expected an answer, got %d %s", a.Status, a.Body)
+	}
+	version := r.Routers[0].Version()
+	time.Sleep(4 * time.Second)
+	r.Log.Fault(kcrstandin.LogFaults{Down: true})
+	r.Routers[1].Stop(ctx)
+	rt, err := r.StartRouter(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Routers[1] = rt
+	deadline := time.Now().Add(30 * time.Second)
+	for rt.Version() != version && time.Now().Before(deadline) {
+		time.Sleep(settlePause)
+	}
+	if rt.Version() != version {
+		t.Fatalf("expected version %d, got %d", version, rt.Version())
+	}
+	a := c.Chat(ctx, r.Settings.Routers[1].Listen, Model, "during", "", true)
+	if !a.Whole(true) {
+		t.Errorf("expected an answer during the outage, got %d %s", a.Status, a.Body)
+	}
+}
+
+// A request that crashes its upstream is refused after two crashes, under new
+// keys and through other routers, and others of its batch are not.
+func TestRequestThatCrashes(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 2, Engines: 3, Plains: 0, Tokens: 10_000_000})
+	c, ctx := kcrcaller.New(APIKey), context.Background()
+	innocents := pool.New()
+	for i := range 6 {
+		innocents.Go(func() {
+			own := kcrcaller.New(APIKey)
+			for n := range 10 {
+				content := fmt.Sprintf("innocent %d want=40", i)
+				if a := own.Chat(ctx, r.Settings.Routers[n%2].Listen, Model, content, "", false); a.Code == "request_crashes_upstreams" {
+					t.Errorf("expected no refusal of an innocent request, got %s", a.Body)
+				}
+			}
+		})
+	}
+	var last kcrcaller.Answer
+	for i := range 10 {
+		last = c.Chat(ctx, r.Settings.Routers[i%2].Listen, Model, "crash-the-engine", fmt.Sprint("resent-", i), false)
+		time.Sleep(200 * time.Millisecond)
+	}
+	innocents.Wait()
+	if last.Code != "request_crashes_upstreams" {
+		t.Errorf("expected it to be refused, got %d %s", last.Status, last.Body)
+	}
+	crashes := 0
+	for i := range r.Engines {
+		crashes += r.runs(i, 10, "resent-")
+	}
+	if crashes > 2 {
+		t.Errorf("expected at most 2 crashes, got %d", crashes)
+	}
+}
+
+// What the engines served never exceeds the budget, while sidecars die and the
+// log loses answers.
+func TestBudgetUnderFaults(t *testing.T) {
+	t.Parallel()
+	const tokens = 6000
+	r := start(t, Size{Routers: 2, Engines: 3, Plains: 0, Tokens: tokens})
+	var over atomic.Bool
+	callers := pool.New()
+	for id := range 8 {
+		callers.Go(func() {
+			c := kcrcaller.New(APIKey)
+			for n := 0; !over.Load(); n++ {
+				c.Chat(context.Background(), r.Settings.Routers[n%2].Listen, Model, fmt.Sprintf("b %d %d", id, n), "", n%2 == 0)
+			}
+		})
+	}
+	for _, fault := range []func(){
+		func() { r.Log.Fault(kcrstandin.LogFaults{Lose: true}) },
+		func() { r.Sidecars[0].Kill() },
+		func() { r.Log.Fault(kcrstandin.LogFaults{Down: true}) },
+		func() { r.Log.Fault(kcrstandin.LogFaults{SlowMS: 50}) },
+		func() { r.VMs.Mark(kcrid.VM("assistant-llm-1"), "gone") },
+		func() { r.Log.Fault(kcrstandin.LogFaults{}) },
+	} {
+		time.Sleep(faultTime)
+		fault()
+	}
+	time.Sleep(4 * faultTime)
+	over.Store(true)
+	callers.Wait()
+	served := 0
+	for _, e := range r.Engines {
+		served += e.Served()
+	}
+	t.Logf("served %d of %d tokens", served, tokens)
+	if served > tokens || served == 0 {
+		t.Errorf("expected at most %d tokens served, got %d", tokens, served)
+	}
+}
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -301,6 +301,26 @@
 	}
 }
 
+// Open asks the ledger to show sidecars as open, so that they can get
+// reservations while the log is down. Known ones are left out.
+func (h *Home) Open(servers []kcrid.Incarnation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ready || h.deposed() || h.retired {
+		return
+	}
+	msg := &kcrentry.Open{}
+	for _, s := range servers {
+		if h.servers[s] == nil {
+			h.servers[s] = &server{asked: true, used: map[kcrid.Plan]kcrid.Tokens{}}
+			msg.Servers = append(msg.Servers, string(s))
+		}
+	}
+	if len(msg.Servers) > 0 {
+		h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: msg}})
+	}
+}
+
 // opened tells whether the ledger shows the sidecar as open, and asks for it
 // once if not. While a Close is on its way, the ledger shows as open what a
 // recovery may soon not ask any more.
@@ -344,10 +364,10 @@
 // holder gave back what it has not reported as spent.
 func (h *Home) exhausted(a Ask) bool {
 	pu := h.purse(a.Plan)
-	if pu.claiming != 0 {
+	acc := h.ledger.Account(a.Plan)
+	if pu.claiming != 0 || len(acc.Credits) < len(pu.credits) {
 		return false
 	}
-	acc := h.ledger.Account(a.Plan)
 	left := acc.Available() + h.free(a.Plan) + pu.backing + pu.reserved + h.ledger.Unspent(a.Plan, h.self)
 	return left < a.Worst
 }
--- a/kernel/kcrerror/error.go
+++ b/kernel/kcrerror/error.go
@@ -29,6 +29,7 @@
 	Leaving      Code = "leaving"
 	Harmful      Code = "request_crashes_upstreams"
 	Broken       Code = "answer_broken"
+	Crashed      Code = "upstream_crashed"
 	Unconfirmed  Code = "outcome_unknown"
 	AlreadyRun   Code = "already_run"
 	Unconfigured Code = "not_configured"
@@ -71,7 +72,7 @@
 		return 422
 	case Overloaded:
 		return 429
-	case Broken, Unconfirmed:
+	case Broken, Crashed, Unconfirmed:
 		return 502
 	default:
 		return 503
--- a/kernel/kcrroute/table.go
+++ b/kernel/kcrroute/table.go
@@ -193,26 +193,40 @@
 	}
 }
 
+// candidates returns the upstreams that may be chosen. One that could not be
+// reached lately is passed over only while there are others.
 func (t *Table) candidates(now kcrclock.Time, n Need, c *Choice) (out []State) {
+	var down []State
 	for _, e := range t.entries {
 		if e.up.Service != n.Service {
 			continue
 		}
-		if reason := e.unfit(now, n); reason != "" {
+		if reason := e.unfit(n); reason != "" {
 			c.Passed = append(c.Passed, fmt.Sprintf("%s %s", e.up.VM, reason))
 			continue
 		}
-		out = append(out, State{
+		s := State{
 			Upstream: e.up, Own: e.own, Base: e.base, Report: e.report,
 			Refused: e.decayed(now), Away: t.away(e.up),
-		})
+		}
+		if now < e.down {
+			down = append(down, s)
+			continue
+		}
+		out = append(out, s)
+	}
+	if len(out) == 0 {
+		out, down = down, nil
+	}
+	for _, s := range down {
+		c.Passed = append(c.Passed, fmt.Sprintf("%s down", s.Upstream.VM))
 	}
 	sort.Strings(c.Passed)
 	rank(out, n.Prefix)
 	return out
 }
 
-func (e *entry) unfit(now kcrclock.Time, n Need) string {
+func (e *entry) unfit(n Need) string {
 	switch {
 	case e.up.Leaving || e.report.Leaving:
 		return "leaving"
@@ -220,8 +234,6 @@
 		return "tried"
 	case !e.report.Ready:
 		return "not ready"
-	case now < e.down:
-		return "down"
 	default:
 		return ""
 	}
--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -177,16 +177,33 @@
 // Pool keeps one session to each peer that is called. It is safe for
 // concurrent use.
 type Pool struct {
-	// Cut, if set, makes calls to an address fail as a network cut would.
-	Cut func(addr string) bool
-
 	mu       sync.Mutex
+	cut      func(addr string) bool
 	sessions map[string]*yamux.Session
 }
 
 // NewPool returns a pool without sessions.
 func NewPool() *Pool { return &Pool{sessions: map[string]*yamux.Session{}} }
 
+// SetCut makes calls to the addresses that cut returns true for fail, and ends
+// their sessions, as a network cut would.
+func (p *Pool) SetCut(cut func(addr string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	for addr, s := range p.sessions {
+		if cut(addr) {
+			_ = s.Close()
+		}
+	}
+}
+
+func (p *Pool) isCut(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut != nil && p.cut(addr)
+}
+
 func (p *Pool) session(ctx context.Context, addr string) (s *yamux.Session, err error) {
 	p.mu.Lock()
 	s = p.sessions[addr]
@@ -222,7 +239,7 @@
 // Open starts a call.
 func (p *Pool) Open(ctx context.Context, addr string, req *kcrwire.Request) (st *Stream, err error) {
 	defer kcrerror.Annotate(&err, "call %s", addr)
-	if p.Cut != nil && p.Cut(addr) {
+	if p.isCut(addr) {
 		return nil, fmt.Errorf("%w: cut", ErrUnsent)
 	}
 	session, err := p.session(ctx, addr)
--- a/router/kcrrouter/attempt.go
+++ b/router/kcrrouter/attempt.go
@@ -86,6 +86,9 @@
 
 // try makes one attempt.
 func (s *search) try(ctx context.Context) (a *answer, err error) {
+	if _, banned := s.r.suspects.of(s.q.content); banned {
+		return nil, &kcrerror.Refusal{Code: kcrerror.Harmful, Text: "requests of this content crash their upstream"}
+	}
 	c, err := s.place()
 	if err != nil {
 		return nil, err
@@ -139,7 +142,7 @@
 		switch refusal.Code {
 		case kcrerror.Leaving, kcrerror.Elsewhere:
 			return true
-		case kcrerror.Overloaded, kcrerror.NoUpstream, kcrerror.Broken:
+		case kcrerror.Overloaded, kcrerror.NoUpstream, kcrerror.Broken, kcrerror.Crashed:
 			return refusal.Text != noCandidate && s.r.retries.Retry()
 		default:
 			return false
@@ -204,11 +207,13 @@
 // send opens the call. A resumed run is named; 0 starts or joins any.
 func (a *answer) send(ctx context.Context, seen kcrid.Offset, run uint64) (err error) {
 	q := a.q
+	apart, _ := a.r.suspects.of(q.content)
 	a.stream, err = a.r.pool.Open(ctx, a.choice.Addr, &kcrwire.Request{Kind: &kcrwire.Request_Start{Start: &kcrwire.Start{
 		Team: string(q.item.Plan.Team), Plan: string(q.item.Plan.Name), Key: string(q.key), Attempt: a.attempt,
 		Service: string(q.service.Name), Model: string(q.model), Method: q.method, Path: q.path, Type: q.kind,
 		Body: q.body, Stream: q.stream, Once: q.once, Made: q.made, Worst: int64(q.worst),
 		Rank: int32(q.item.Use.Rank), Seen: uint64(seen), Content: uint64(q.content), Id: q.id, Run: run,
+		Apart: apart,
 	}}})
 	a.splice = kcranswer.NewSplice(kcranswer.DefaultSpliceRules(), kcranswer.Attempt(a.attempt))
 	return err
@@ -244,6 +249,9 @@
 		}
 		if refusal := f.GetRefusal(); refusal != nil {
 			a.r.loaded(a.choice.VM, a.q.service.Name, refusal.GetLoad())
+			if kcrerror.Code(refusal.GetCode()) == kcrerror.Crashed {
+				a.r.suspects.add(a.q.content)
+			}
 			return nil, &kcrerror.Refusal{
 				Code: kcrerror.Code(refusal.GetCode()), Text: refusal.GetText(), Ran: refusal.GetRan(),
 				After: refusal.GetAfter(), Server: refusal.GetServer(),
@@ -279,6 +287,7 @@
 			return nil, err
 		}
 		if f.GetEnd() != nil {
+			a.r.suspects.clear(a.q.content)
 			return nil, io.EOF
 		}
 		if data := a.fresh(f.GetData()); len(data) > 0 {
@@ -304,7 +313,9 @@
 	run, server := a.head.GetRun(), a.head.GetServer()
 	for range resumeTries {
 		time.Sleep(resumePause)
-		_ = a.stream.Close()
+		if a.stream != nil {
+			_ = a.stream.Close()
+		}
 		a.attempt++
 		a.skip = a.passed
 		err := a.send(ctx, 0, run)
--- a/router/kcrrouter/router.go
+++ b/router/kcrrouter/router.go
@@ -51,6 +51,7 @@
 	pool     *kcrlink.Pool
 	table    *kcrroute.Table
 	retries  *kcrroute.RetryBudget
+	suspects *suspects
 	app      *fiber.App
 	admin    *kcrdaemon.Admin
 	metrics  *metrics
@@ -74,14 +75,15 @@
 // New starts a router.
 func New(c Config) (r *Router, err error) {
 	r = &Router{
-		config:  c,
-		clock:   c.Clock,
-		journal: kcrdaemon.NewJournal(c.Logger),
-		state:   kcrlist.NewState(kcrlist.DefaultRules()),
-		pool:    c.Pool,
-		retries: kcrroute.NewRetryBudget(),
-		metrics: newMetrics(c.Metrics),
-		seens:   map[kcrid.Service]kcrid.Offset{},
+		config:   c,
+		clock:    c.Clock,
+		journal:  kcrdaemon.NewJournal(c.Logger),
+		state:    kcrlist.NewState(kcrlist.DefaultRules()),
+		pool:     c.Pool,
+		retries:  kcrroute.NewRetryBudget(),
+		suspects: newSuspects(),
+		metrics:  newMetrics(c.Metrics),
+		seens:    map[kcrid.Service]kcrid.Offset{},
 	}
 	r.table = kcrroute.New(kcrroute.Home{Zone: c.Self.Zone, Region: c.Settings.Region}, c.Policy, rand.IntN)
 	r.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, r.listed)
--- a/sidecar/kcrsidecar/generate.go
+++ b/sidecar/kcrsidecar/generate.go
@@ -144,7 +144,7 @@
 	whole := false
 	defer func() { s.tapes.finish(w, whole) }()
 	suspect, _ := s.state.Suspected(w.content)
-	apart := suspect || s.crashes.suspected(w.content)
+	apart := suspect || r.GetApart() || s.crashes.suspected(w.content)
 	t, err := s.gate.enter(ctx, r.GetRank(), apart)
 	if err != nil {
 		s.finish(r, w, "refused", 0, notRun(err))
@@ -253,7 +253,7 @@
 	case p.over:
 		return kcrbudget.Broken, "over", &kcrerror.Refusal{Code: kcrerror.Broken, Text: "the upstream exceeded the bound of the request", Ran: true}
 	case err != nil || !complete:
-		return kcrbudget.Broken, "crashed", &kcrerror.Refusal{Code: kcrerror.Broken, Text: "the upstream broke the answer off", Ran: true}
+		return kcrbudget.Broken, "crashed", &kcrerror.Refusal{Code: kcrerror.Crashed, Text: "the upstream broke the answer off", Ran: true}
 	default:
 		return kcrbudget.Whole, "whole", nil
 	}
--- a/sidecar/kcrsidecar/homes.go
+++ b/sidecar/kcrsidecar/homes.go
@@ -31,6 +31,8 @@
 	deadAfter    = 10 * kcrclock.Second
 	evidenceTime = 500 * time.Millisecond
 	homesTried   = 3
+	lookInterval = 2 * kcrclock.Second
+	meetMost     = 16
 )
 
 // bucketHome is one home with its follower.
@@ -40,7 +42,9 @@
 	follower *kcrdaemon.Follower
 	heard    map[kcrid.Incarnation]kcrclock.Time // last sign of life of servers
 	missing  map[kcrid.Incarnation]kcrclock.Time // holders that do not answer, since
+	met      map[kcrid.VM]bool                   // VMs whose sidecar was opened ahead of need
 	busy     bool
+	looked   kcrclock.Time
 }
 
 // homes holds the homes by bucket.
@@ -102,7 +106,10 @@
 		Policy:      h.s.config.Escrow,
 	})
 	h.s.config.Logger.Info("home started", "home", home.Self(), "bucket", b)
-	bh := &bucketHome{bucket: b, home: home, heard: map[kcrid.Incarnation]kcrclock.Time{}, missing: map[kcrid.Incarnation]kcrclock.Time{}}
+	bh := &bucketHome{
+		bucket: b, home: home, heard: map[kcrid.Incarnation]kcrclock.Time{}, missing: map[kcrid.Incarnation]kcrclock.Time{},
+		met: map[kcrid.VM]bool{},
+	}
 	bh.follower = kcrdaemon.NewFollower(h.log, kcrid.BudgetStream(b), kcrdaemon.Fold{
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
 			eff := home.Apply(h.s.clock.Now(), off, e)
@@ -231,19 +238,54 @@
 func (h *homes) look(bh *bucketHome, now kcrclock.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if bh.busy || h.closed || int64(now)/int64(homeTick)%2 != 0 {
+	if bh.busy || h.closed || now.Sub(bh.looked) < lookInterval {
 		return
 	}
+	bh.looked = now
 	bh.busy = true
 	h.wait.Go(func() {
 		h.checkHolders(bh)
 		h.collect(bh)
+		h.meet(bh)
 		h.mu.Lock()
 		bh.busy = false
 		h.mu.Unlock()
 	})
 }
 
+// meet opens sidecars of the region ahead of need, a few at a time.
+func (h *homes) meet(bh *bucketHome) {
+	var servers []kcrid.Incarnation
+	tries := 0
+	for _, vm := range h.s.fleet.VMs() {
+		if vm.Region != h.s.config.Settings.Region || bh.met[vm.Name] || tries == meetMost {
+			continue
+		}
+		tries++
+		loaded, err := h.s.loadOf(vm)
+		if err != nil {
+			continue
+		}
+		bh.met[vm.Name] = true
+		servers = append(servers, kcrid.Incarnation(loaded.GetServer()))
+	}
+	bh.home.Open(servers)
+}
+
+// loadOf asks a sidecar for its state.
+func (s *Sidecar) loadOf(vm kcrplatform.VM) (*kcrwire.Loaded, error) {
+	if vm.Name == s.config.Self.VM {
+		return s.load(), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), evidenceTime)
+	defer cancel()
+	reply, err := s.pool.Call(ctx, vm.Addr, &kcrwire.Request{Kind: &kcrwire.Request_Load{Load: &kcrwire.Load{}}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetLoaded(), nil
+}
+
 func (h *homes) checkHolders(bh *bucketHome) {
 	for _, holder := range bh.home.Others() {
 		now := h.s.clock.Now()
@@ -273,13 +315,11 @@
 	if !ok {
 		return false, false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), evidenceTime)
-	defer cancel()
-	reply, err := h.s.pool.Call(ctx, entry.Addr, &kcrwire.Request{Kind: &kcrwire.Request_Load{Load: &kcrwire.Load{}}})
+	loaded, err := h.s.loadOf(entry)
 	if err != nil {
 		return false, false
 	}
-	same := reply.GetLoaded().GetServer() == string(process)
+	same := loaded.GetServer() == string(process)
 	return same, !same
 }
 
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,12 +64,17 @@
 	admin    *kcrdaemon.Admin
 	metrics  *metrics
 	stopping atomic.Bool
-	active   sync.WaitGroup
+	active   kcrdaemon.Activity
 	cancel   context.CancelFunc
 	wait     conc.WaitGroup
 }
 
-const tickInterval = 50 * time.Millisecond
+const (
+	tickInterval = 50 * time.Millisecond
+	// handoverTime bounds how long a planned stop waits for the log once all
+	// requests are finished. What is not handed over is recovered by others.
+	handoverTime = 30 * time.Second
+)
 
 // New starts a sidecar.
 func New(c Config) (s *Sidecar, err error) {
@@ -177,15 +181,9 @@
 func (s *Sidecar) Stop(ctx context.Context) {
 	s.stopping.Store(true)
 	s.config.Logger.Info("stopping")
-	done := make(chan struct{})
-	s.wait.Go(func() {
-		s.active.Wait()
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	s.active.Wait(ctx)
+	ctx, cancel := context.WithTimeout(ctx, handoverTime)
+	defer cancel()
 	s.settler.drain(ctx)
 	s.homes.retire(ctx)
 	s.close()
@@ -205,3 +203,10 @@
 	s.pool.Close()
 	s.wait.Wait()
 }
+
+// Kill ends the sidecar at once, as a crash would: nothing is settled, and no
+// grant is closed.
+func (s *Sidecar) Kill() {
+	s.stopping.Store(true)
+	s.close()
+}
