Homes hold escrow in proportion to their demand; measure budgets

Ruled out: grants that were too short in time (the horizon of two hours was not reached).

Change: a home holds at most the part of what is left that its demand is of all demand, estimated from the spending that the ledger shows.

--- a/bench/kcrcommand/command.go
+++ b/bench/kcrcommand/command.go
@@ -20,7 +20,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(call(), wait(), proof())
+	root.AddCommand(call(), wait(), proof(), measure())
 	return root
 }
 
--- a/bench/kcrproof/proof.go
+++ b/bench/kcrproof/proof.go
@@ -34,6 +34,9 @@
 	return r.IntN
 }
 
+// mutantFactor is how many more seeds a mutant gets to show a violation.
+const mutantFactor = 10
+
 // Steps of one schedule.
 const (
 	budgetSteps  = 12000
@@ -91,7 +94,7 @@
 	}
 	var found []string
 	for _, m := range s.mutants {
-		seed, err := breakMutant(s.rules, m, s.check, seeds, s.steps)
+		seed, err := breakMutant(s.rules, m, s.check, mutantFactor*seeds, s.steps)
 		if err == nil {
 			row.Err = fmt.Errorf("mutant %q: expected a violation, got none", m.Name)
 			return row
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -144,6 +144,7 @@
 	nextID   uint64
 	purses   map[kcrid.Plan]*purse
 	calls    map[kcrid.Call]*call
+	ended    []kcrid.Call // finished calls, oldest first
 	servers  map[kcrid.Incarnation]*server
 	fencing  map[kcrid.Incarnation]bool
 	recovery map[kcrid.Incarnation]*recovery
@@ -159,9 +160,12 @@
 	claiming  uint64 // sequence of the claim in flight
 	deniedAt  kcrclock.Time
 	denied    bool
-	rate      float64
+	rate      float64 // tokens a second spent here
+	others    float64 // tokens a second spent under other holders
+	rateFrom  kcrclock.Time
 	rateAt    kcrclock.Time
 	sinceRate kcrid.Tokens
+	elsewhere kcrid.Tokens // spent under other holders at rateAt
 	usedAt    kcrclock.Time
 	worst     kcrid.Tokens
 	backs     map[uint64]kcrid.Tokens
@@ -184,6 +188,11 @@
 	asked   bool
 	closing bool                        // a Close is on its way to the ledger
 	used    map[kcrid.Plan]kcrid.Tokens // settled and reserved
+	open    map[uint64]kcrid.Call       // reservations that are not settled
+}
+
+func newServer() *server {
+	return &server{used: map[kcrid.Plan]kcrid.Tokens{}, open: map[uint64]kcrid.Call{}}
 }
 
 // NewHome returns a home that knows nothing of its bucket. It answers Pending
@@ -229,7 +238,11 @@
 
 func (h *Home) view(p kcrid.Plan, worst kcrid.Tokens) View {
 	a := h.ledger.Account(p)
-	return View{Worst: worst, Rate: h.purse(p).rate, Free: h.free(p), Available: a.Available(), Prepaid: a.Prepaid}
+	pu := h.purse(p)
+	return View{
+		Worst: worst, Rate: pu.rate, Share: pu.share(), Free: h.free(p),
+		Available: a.Available(), Others: h.ledger.Unspent(p, h.self), Prepaid: a.Prepaid,
+	}
 }
 
 func (h *Home) deposed() bool {
@@ -312,7 +325,8 @@
 	msg := &kcrentry.Open{}
 	for _, s := range servers {
 		if h.servers[s] == nil {
-			h.servers[s] = &server{asked: true, used: map[kcrid.Plan]kcrid.Tokens{}}
+			h.servers[s] = newServer()
+			h.servers[s].asked = true
 			msg.Servers = append(msg.Servers, string(s))
 		}
 	}
@@ -327,7 +341,7 @@
 func (h *Home) opened(s kcrid.Incarnation) bool {
 	sv, ok := h.servers[s]
 	if !ok {
-		sv = &server{used: map[kcrid.Plan]kcrid.Tokens{}}
+		sv = newServer()
 		h.servers[s] = sv
 	}
 	if h.rules.Closing(sv.closing) {
@@ -347,6 +361,7 @@
 	h.purse(a.Plan).reserved += a.Worst
 	if sv := h.servers[a.Server]; sv != nil {
 		sv.used[a.Plan] += a.Worst
+		sv.open[h.nextID] = a.Call
 	}
 	return Answer{Code: Granted, ID: h.nextID, Server: a.Server, Addr: a.Addr}
 }
@@ -417,15 +432,25 @@
 		h.settle(now, from, l)
 		out.Taken = append(out.Taken, l.ID)
 	}
-	for key, c := range h.calls {
-		if c.server == from && !c.done && c.id <= r.Floor && !slices.Contains(r.Held, c.id) {
-			h.settle(now, from, Line{ID: c.id, Call: key, State: Void})
-		}
-	}
+	h.takeBack(now, from, r)
 	out.Last = h.nextID
 	return out
 }
 
+// takeBack voids the reservations that a sidecar does not hold and cannot
+// begin any more.
+func (h *Home) takeBack(now kcrclock.Time, from kcrid.Incarnation, r Report) {
+	sv := h.servers[from]
+	if sv == nil {
+		return
+	}
+	for id, key := range sv.open {
+		if id <= r.Floor && !slices.Contains(r.Held, id) {
+			h.settle(now, from, Line{ID: id, Call: key, State: Void})
+		}
+	}
+}
+
 func (h *Home) settle(now kcrclock.Time, from kcrid.Incarnation, l Line) {
 	c := h.calls[l.Call]
 	if c == nil || c.done || c.server != from || l.ID != c.id {
@@ -438,15 +463,18 @@
 	pu.sinceRate += used
 	if sv := h.servers[from]; sv != nil {
 		sv.used[c.plan] -= c.worst - used
+		delete(sv.open, c.id)
 	}
 	if l.State == Void {
 		delete(h.calls, l.Call)
 		return
 	}
-	c.done, c.doneAt = true, now
 	if l.State == Broken {
 		delete(h.calls, l.Call)
+		return
 	}
+	c.done, c.doneAt = true, now
+	h.ended = append(h.ended, l.Call)
 }
 
 // Lose closes a sidecar that is gone: what it had reserved counts as spent,
@@ -469,7 +497,8 @@
 			msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(t)})
 		}
 	}
-	h.servers[s] = &server{closing: true, used: map[kcrid.Plan]kcrid.Tokens{}}
+	h.servers[s] = newServer()
+	h.servers[s].closing = true
 	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Close{Close: msg}})
 }
 
@@ -550,16 +579,26 @@
 	for p, pu := range h.purses {
 		h.tickPurse(now, p, pu)
 	}
-	for key, c := range h.calls {
-		if c.done && now.Sub(c.doneAt) > callMemory {
-			delete(h.calls, key)
+	h.forget(now)
+	h.tickRecovery(now)
+}
+
+// forget drops calls that ended long ago.
+func (h *Home) forget(now kcrclock.Time) {
+	for len(h.ended) > 0 {
+		c := h.calls[h.ended[0]]
+		if c != nil && c.done && now.Sub(c.doneAt) <= callMemory {
+			return
+		}
+		if c != nil && c.done {
+			delete(h.calls, h.ended[0])
 		}
+		h.ended = h.ended[1:]
 	}
-	h.tickRecovery(now)
 }
 
 func (h *Home) tickPurse(now kcrclock.Time, p kcrid.Plan, pu *purse) {
-	pu.smooth(now)
+	pu.smooth(now, h.ledger.SpentElsewhere(p, h.self))
 	amount := h.ledger.Grant(h.self, p).Amount
 	if amount == 0 {
 		return
@@ -578,15 +617,28 @@
 	}
 }
 
-// smooth updates the demand rate.
-func (pu *purse) smooth(now kcrclock.Time) {
+// smooth updates the demand rates. A young rate is a plain average.
+func (pu *purse) smooth(now kcrclock.Time, elsewhere kcrid.Tokens) {
 	dt := now.Sub(pu.rateAt).Seconds()
 	if dt < 1 {
 		return
 	}
-	w := 1 - math.Exp(-dt/rateWindow.Seconds())
+	if pu.rateAt == 0 {
+		pu.rateFrom, pu.rateAt, pu.sinceRate, pu.elsewhere = now, now, 0, elsewhere
+		return
+	}
+	w := max(1-math.Exp(-dt/rateWindow.Seconds()), dt/now.Sub(pu.rateFrom).Seconds())
 	pu.rate += w * (float64(pu.sinceRate)/dt - pu.rate)
-	pu.sinceRate, pu.rateAt = 0, now
+	pu.others += w * (float64(max(0, elsewhere-pu.elsewhere))/dt - pu.others)
+	pu.sinceRate, pu.rateAt, pu.elsewhere = 0, now, elsewhere
+}
+
+// share is the part of the demand that comes here.
+func (pu *purse) share() float64 {
+	if pu.rate+pu.others == 0 {
+		return 0.5
+	}
+	return pu.rate / (pu.rate + pu.others)
 }
 
 // Retire ends the home for a planned stop: it gives no more reservations and,
@@ -667,13 +719,11 @@
 }
 
 // Outstanding returns how many reservations a sidecar holds.
-func (h *Home) Outstanding(s kcrid.Incarnation) (n int) {
+func (h *Home) Outstanding(s kcrid.Incarnation) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, c := range h.calls {
-		if c.server == s && !c.done {
-			n++
-		}
+	if sv := h.servers[s]; sv != nil {
+		return len(sv.open)
 	}
-	return n
+	return 0
 }
--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -162,6 +162,18 @@
 	return sum
 }
 
+// SpentElsewhere returns what is known to be spent under other holders than
+// self, those that have left office included.
+func (l *Ledger) SpentElsewhere(p kcrid.Plan, self kcrid.Incarnation) kcrid.Tokens {
+	sum := l.Account(p).Settled
+	for name, h := range l.holders {
+		if g := h.Grants[p]; g != nil && name != self {
+			sum += g.floor()
+		}
+	}
+	return sum
+}
+
 // Apply folds one record. A record at or below At is ignored.
 func (l *Ledger) Apply(off kcrid.Offset, e *kcrentry.Entry) Effect {
 	if off <= l.at {
--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -12,8 +12,10 @@
 type View struct {
 	Worst     kcrid.Tokens // of the request that waits, 0 if none does
 	Rate      float64      // tokens a second spent here, smoothed
+	Share     float64      // part of the demand that comes here, 0 to 1
 	Free      kcrid.Tokens // in the grant here and not reserved
 	Available kcrid.Tokens // on the ledger
+	Others    kcrid.Tokens // that other holders may still spend
 	Prepaid   kcrid.Tokens
 }
 
@@ -30,21 +32,23 @@
 const (
 	// DefaultHorizon is the demand that a grant covers while the log is down.
 	DefaultHorizon = 2 * kcrclock.Hour
-	// shareOfAvailable is the part of the ledger that one grant leaves.
-	shareOfAvailable = 4
+	// leastShare is the part of a budget that any home may hold.
+	leastShare = 0.05
 	// minRequests is how many of the largest requests a grant should cover.
 	minRequests = 4
 	// spareReserve is the demand that a home keeps when others are short.
 	spareReserve = 10 * kcrclock.Second
 )
 
-// ByDemand returns the policy that covers the demand of a horizon, takes at
-// most a quarter of what is left, and gives idle escrow to who is short.
+// ByDemand returns the policy that covers the demand of a horizon, holds at
+// most the part of what is left that the demand here is of all demand, and
+// gives idle escrow to who is short.
 func ByDemand(horizon kcrclock.Duration) Policy {
 	return Policy{
 		Target: func(v View) kcrid.Tokens {
 			want := max(kcrid.Tokens(v.Rate*horizon.Seconds()), minRequests*v.Worst)
-			most := max((v.Available+v.Free)/shareOfAvailable, v.Worst)
+			left := float64(v.Available + v.Free + v.Others)
+			most := max(kcrid.Tokens(left*max(v.Share, leastShare)), v.Worst)
 			return min(want, most)
 		},
 		Spare: func(v View, unmet kcrid.Tokens) kcrid.Tokens {
