A home refills when it falls below 85% of its target

Cause: in a log outage near the end of budgets, 5% to 15% of a budget was still on the ledger, and a grant could be as low as half its target when the log went down, one hour of demand, the length of the outage. Seen by printing the first early false refusal of each plan with what was free and available.

Ruled out: noise of the demand estimate.

--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -118,6 +118,8 @@
 	deniedTime = kcrclock.Second
 	// rateWindow is the time constant of the smoothed demand.
 	rateWindow = 5 * kcrclock.Minute
+	// refillBelow is the part of its target below which a home claims more.
+	refillBelow = 0.85
 	// settleWait is how long a recovery waits for runs to end.
 	settleWait = kcrclock.Minute
 )
@@ -609,7 +611,7 @@
 	switch {
 	case idle && free > 0 && h.policy.Spare(h.view(p, 0), math.MaxInt64) > 0:
 		h.giveBack(p, free)
-	case !idle && free < target/2:
+	case !idle && float64(free) < refillBelow*float64(target):
 		h.claim(now, p, pu.worst)
 	case pu.spent != pu.marked && now.Sub(pu.markedAt) >= markInterval:
 		pu.markedAt = now
