Old load reports count less in routing; measure routing

Change: a report counts less as it ages; the router's own requests, scaled to those of all routers, count instead.

--- a/bench/kcrcommand/measure.go
+++ b/bench/kcrcommand/measure.go
@@ -18,6 +18,7 @@
 func tables() []table {
 	return []table{
 		{"budget", kcrmeasure.Budget},
+		{"route", kcrmeasure.Route},
 	}
 }
 
--- a/kernel/kcrroute/policy.go
+++ b/kernel/kcrroute/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"kingcuprun.example/kernel/kcrclock"
 )
@@ -19,16 +20,20 @@
 	cachePlaces = 2
 )
 
-// load estimates how full a candidate is. The report lags, so the requests
-// that this router has started since it came are added.
+// freshTime is the age at which a report counts for a third.
+const freshTime = kcrclock.Second
+
+// load estimates how full a candidate is. The report lags: what this router
+// has started since it came is added, and the older it is, the more the
+// router's own requests count instead, scaled to those of all routers.
 func load(s State) float64 {
-	limit := max(1, s.Report.Limit)
+	limit := float64(max(1, s.Report.Limit))
 	if s.Report.Limit == 0 {
 		limit = 16
 	}
-	known := s.Report.Inflight + s.Report.Queue
-	recent := s.Own - s.Base
-	return float64(max(s.Own, known+recent)) / float64(limit)
+	known := float64(s.Report.Inflight + s.Report.Queue + s.Own - s.Base)
+	fresh := math.Exp(-s.Age.Seconds() / freshTime.Seconds())
+	return max(float64(s.Own), fresh*known+(1-fresh)*float64(s.Own)*s.Fan) / limit
 }
 
 func cost(s State) float64 {
--- a/kernel/kcrroute/table.go
+++ b/kernel/kcrroute/table.go
@@ -58,7 +58,9 @@
 	Own      int // requests of this router in flight
 	Base     int // of them when the report came
 	Report   Report
-	Refused  float64 // recent refusals, decaying
+	Age      kcrclock.Duration // of the report
+	Fan      float64           // requests in flight per request of this router
+	Refused  float64           // recent refusals, decaying
 	Away     int     // 0 same zone, 1 same region, 2 other region
 	Affinity int     // 0 for the first choice by prefix, 1 for the second, …
 }
@@ -197,6 +199,7 @@
 // reached lately is passed over only while there are others.
 func (t *Table) candidates(now kcrclock.Time, n Need, c *Choice) (out []State) {
 	var down []State
+	fan := t.fan(n.Service)
 	for _, e := range t.entries {
 		if e.up.Service != n.Service {
 			continue
@@ -206,7 +209,7 @@
 			continue
 		}
 		s := State{
-			Upstream: e.up, Own: e.own, Base: e.base, Report: e.report,
+			Upstream: e.up, Own: e.own, Base: e.base, Report: e.report, Age: now.Sub(e.report.At), Fan: fan,
 			Refused: e.decayed(now), Away: t.away(e.up),
 		}
 		if now < e.down {
@@ -226,6 +229,22 @@
 	return out
 }
 
+// fan estimates how many requests are in flight at a service's upstreams for
+// each request of this router, from reports of any age.
+func (t *Table) fan(s kcrid.Service) float64 {
+	reported, base := 0, 0
+	for _, e := range t.entries {
+		if e.up.Service == s && e.report.Limit > 0 {
+			reported += e.report.Inflight + e.report.Queue
+			base += e.base
+		}
+	}
+	if base == 0 {
+		return 1
+	}
+	return max(1, float64(reported)/float64(base))
+}
+
 func (e *entry) unfit(n Need) string {
 	switch {
 	case e.up.Leaving || e.report.Leaving:
