An attempt that reached nobody costs nothing of the retry budget

Cause: with a zone lost, a third of first attempts failed at once and used up the retry budget, so requests were refused while upstreams had room: 81 false refusals of 10480. Such an attempt adds no load. Ruled out: too few tries (no request had three).

--- a/kernel/kcrroute/table.go
+++ b/kernel/kcrroute/table.go
@@ -61,8 +61,8 @@
 	Age      kcrclock.Duration // of the report
 	Fan      float64           // requests in flight per request of this router
 	Refused  float64           // recent refusals, decaying
-	Away     int     // 0 same zone, 1 same region, 2 other region
-	Affinity int     // 0 for the first choice by prefix, 1 for the second, …
+	Away     int               // 0 same zone, 1 same region, 2 other region
+	Affinity int               // 0 for the first choice by prefix, 1 for the second, …
 }
 
 // Policy picks an index among candidates that are not empty.
--- a/router/kcrrouter/attempt.go
+++ b/router/kcrrouter/attempt.go
@@ -132,7 +132,8 @@
 	s.r.journal.Add(s.q.id, "attempt failed", "attempt", s.attempt, "vm", c.VM, "err", err.Error())
 }
 
-// again tells whether another attempt may and should follow.
+// again tells whether another attempt may and should follow. One that reached
+// nobody added no load, so the next costs nothing of the retry budget.
 func (s *search) again(err error) bool {
 	if s.q.once && s.maybe {
 		return false
@@ -148,7 +149,7 @@
 			return false
 		}
 	}
-	return s.r.retries.Retry()
+	return errors.Is(err, kcrlink.ErrUnsent) || s.r.retries.Retry()
 }
 
 // noCandidate marks refusals of the router itself.
