--- a/bench/kcrcommand/measure.go
+++ b/bench/kcrcommand/measure.go
@@ -19,6 +19,8 @@
 	return []table{
 		{"budget", kcrmeasure.Budget},
 		{"route", kcrmeasure.Route},
+		{"slope", kcrmeasure.Slope},
+		{"speed", kcrmeasure.Speed},
 	}
 }
 
--- /dev/null
+++ b/bench/kcrmeasure/slope.go
@@ -0,0 +1,320 @@
+package kcrmeasure
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+	"google.golang.org/protobuf/proto"
+
+	"kingcuprun.example/kernel/kcrbudget"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrintent"
+	"kingcuprun.example/kernel/kcrlist"
+	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrroute"
+	"kingcuprun.example/link/kcrwire"
+)
+
+// This file measures how memory, processor time and bytes grow with the number
+// of budgets, upstreams, changes and requests. The capacity page is worked out
+// from these slopes.
+
+// point is a measurement at one size.
+type point struct {
+	size  float64
+	value float64
+}
+
+// line fits points and prints them with the fit and its largest residual.
+func printFit(w io.Writer, what, unit string, points []point) error {
+	xs, ys := make([]float64, len(points)), make([]float64, len(points))
+	var shown []string
+	for i, p := range points {
+		xs[i], ys[i] = p.size, p.value
+		shown = append(shown, fmt.Sprintf("%.0f: %.4g", p.size, p.value))
+	}
+	alpha, beta := stat.LinearRegression(xs, ys, nil, false)
+	worst := 0.0
+	for i := range xs {
+		if r := ys[i] - alpha - beta*xs[i]; r*r > worst*worst {
+			worst = r
+		}
+	}
+	_, err := fmt.Fprintf(w, "%-52s %-6s | %-52s | %.4g + %.4g n | residual %.3g\n", what, unit, strings.Join(shown, "  "), alpha, beta, worst)
+	return err
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// held returns the memory that a value holds.
+func held(build func() any) float64 {
+	before := heap()
+	v := build()
+	after := heap()
+	runtime.KeepAlive(v)
+	return max(0, after-before)
+}
+
+// perCall returns the nanoseconds of a call.
+func perCall(n int, call func(i int)) float64 {
+	start := time.Now()
+	for i := range n {
+		call(i)
+	}
+	return float64(time.Since(start).Nanoseconds()) / float64(n)
+}
+
+// bareHome returns a home with so many funded plans and one open sidecar.
+func bareHome(plans int) *kcrbudget.Home {
+	h := kcrbudget.NewHome(kcrbudget.Config{
+		Self: "home", Rules: kcrbudget.DefaultHomeRules(), LedgerRules: kcrbudget.DefaultLedgerRules(),
+		Policy: kcrbudget.ByDemand(kcrbudget.DefaultHorizon),
+	})
+	h.Ready()
+	h.Open([]kcrid.Incarnation{"server"})
+	for i := range plans {
+		h.Credit(planName(i), "first", 1<<40)
+	}
+	off := kcrid.Offset(0)
+	drainHome(h, &off)
+	for i := range plans {
+		h.Reserve(0, kcrbudget.Ask{Call: callOf(-i - 1), Plan: planName(i), Server: "server", Worst: 1000})
+	}
+	drainHome(h, &off)
+	return h
+}
+
+func callOf(i int) kcrid.Call { return kcrid.Call{Team: "team", Key: kcrid.Key(fmt.Sprint("key-", i))} }
+
+// drainHome puts a home's entries on its own ledger.
+func drainHome(h *kcrbudget.Home, off *kcrid.Offset) {
+	for {
+		records, _ := h.Batch(4096)
+		if len(records) == 0 {
+			return
+		}
+		for _, data := range records {
+			e, err := kcrlog.Decode(data)
+			if err != nil {
+				panic(err)
+			}
+			*off++
+			h.Apply(0, *off, e)
+		}
+	}
+}
+
+func listState(plans int) *kcrlist.State {
+	s := kcrlist.NewState(kcrlist.DefaultRules())
+	var c kcrlist.Change
+	for i := range plans {
+		name := planName(i)
+		c.Set = append(c.Set, kcrlist.Item{
+			Plan: kcrlist.Plan{Name: name, Team: kcrid.Team(fmt.Sprint("team-", i%360)), Keys: []string{kcrlist.Digest(string(name))}, Topups: []kcrlist.Topup{{Name: "first", Tokens: 1000}}},
+			Use:  kcrlist.Use{Plan: name, Models: []kcrid.Model{"model-1", "model-2"}, Rank: 1, Most: 4096},
+		})
+	}
+	data, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	s.Apply(1, &kcrentry.Entry{Kind: &kcrentry.Entry_Publish{Publish: &kcrentry.Publish{Change: data}}})
+	return s
+}
+
+func routeTable(upstreams int) *kcrroute.Table {
+	t := kcrroute.New(kcrroute.Home{Zone: zoneName(0), Region: "region"}, kcrroute.ByCost, rand.IntN)
+	var ups []kcrroute.Upstream
+	for i := range upstreams {
+		ups = append(ups, kcrroute.Upstream{
+			VM: kcrid.VM(fmt.Sprint("vm-", i)), Addr: "10.0.0.1:1000", Zone: zoneName(i % 6), Region: "region",
+			Service: kcrid.Service(fmt.Sprint("service-", i%27)),
+		})
+	}
+	t.Update(ups)
+	return t
+}
+
+// Slope prints the table of slopes.
+func Slope(w io.Writer) error {
+	for _, f := range []func(io.Writer) error{homeSlopes, listSlopes, routeSlopes, requestSlopes, sizes} {
+		if err := f(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func homeSlopes(w io.Writer) error {
+	var memory, reserve, tick, snap []point
+	for _, n := range []int{100, 1000, 5000} {
+		memory = append(memory, point{float64(n), held(func() any { return bareHome(n) })})
+		h := bareHome(n)
+		id := uint64(n)
+		reserve = append(reserve, point{float64(n), perCall(20000, func(i int) {
+			ans := h.Reserve(0, kcrbudget.Ask{Call: callOf(i), Plan: planName(i % n), Server: "server", Worst: 100})
+			id = ans.ID
+			h.Settle(0, "server", kcrbudget.Report{Lines: []kcrbudget.Line{{ID: id, Call: callOf(i), Plan: planName(i % n), Tokens: 50, State: kcrbudget.Whole}}})
+		})})
+		tick = append(tick, point{float64(n), perCall(20, func(i int) { h.Tick(kcrclock.Time(i) * 1000) })})
+		_, data, err := h.Snapshot()
+		if err != nil {
+			return err
+		}
+		snap = append(snap, point{float64(n), float64(len(data))})
+	}
+	if err := printFit(w, "home: memory against budgets", "B", memory); err != nil {
+		return err
+	}
+	if err := printFit(w, "home: a reservation and its settlement", "ns", reserve); err != nil {
+		return err
+	}
+	if err := printFit(w, "home: a tick (once a second)", "ns", tick); err != nil {
+		return err
+	}
+	return printFit(w, "home: snapshot against budgets", "B", snap)
+}
+
+func listSlopes(w io.Writer) error {
+	var memory, snap, key []point
+	for _, n := range []int{1000, 5000, 19000} {
+		memory = append(memory, point{float64(n), held(func() any { return listState(n) })})
+		s := listState(n)
+		_, data, err := s.Snapshot()
+		if err != nil {
+			return err
+		}
+		snap = append(snap, point{float64(n), float64(len(data))})
+		key = append(key, point{float64(n), perCall(20000, func(i int) { s.ByKey(string(planName(i % n))) })})
+	}
+	if err := printFit(w, "lists: memory against plans", "B", memory); err != nil {
+		return err
+	}
+	if err := printFit(w, "lists: snapshot against plans", "B", snap); err != nil {
+		return err
+	}
+	return printFit(w, "lists: an API key looked up", "ns", key)
+}
+
+func routeSlopes(w io.Writer) error {
+	var memory, choose []point
+	for _, n := range []int{54, 216, 600} {
+		memory = append(memory, point{float64(n), held(func() any { return routeTable(n) })})
+		t := routeTable(n)
+		choose = append(choose, point{float64(n), perCall(5000, func(i int) {
+			c := t.Choose(0, kcrroute.Need{Service: kcrid.Service(fmt.Sprint("service-", i%27)), Prefix: kcrid.Content(i)})
+			t.Finish(c.VM)
+		})})
+	}
+	if err := printFit(w, "router: memory of the table against upstreams", "B", memory); err != nil {
+		return err
+	}
+	return printFit(w, "router: a choice among 1/27 of the upstreams", "ns", choose)
+}
+
+func requestSlopes(w io.Writer) error {
+	var calls, intents, meter []point
+	for _, n := range []int{1000, 10000, 50000} {
+		calls = append(calls, point{float64(n), held(func() any { return busyHome(n) })})
+		intents = append(intents, point{float64(n), held(func() any { return fullBook(n) })})
+		meter = append(meter, point{float64(n), held(func() any { return fullMeter(n) })})
+	}
+	if err := printFit(w, "home: memory against calls remembered for 10 min", "B", calls); err != nil {
+		return err
+	}
+	if err := printFit(w, "sidecar: intents remembered", "B", intents); err != nil {
+		return err
+	}
+	return printFit(w, "sidecar: meter against plans served", "B", meter)
+}
+
+func busyHome(calls int) *kcrbudget.Home {
+	h := bareHome(1)
+	for i := range calls {
+		ans := h.Reserve(0, kcrbudget.Ask{Call: callOf(i), Plan: planName(0), Server: "server", Worst: 1})
+		h.Settle(0, "server", kcrbudget.Report{Lines: []kcrbudget.Line{{ID: ans.ID, Call: callOf(i), Plan: planName(0), State: kcrbudget.Whole}}})
+	}
+	return h
+}
+
+func fullBook(calls int) *kcrintent.Book {
+	b := kcrintent.NewBook(kcrintent.DefaultRules(), kcrintent.Memory)
+	for i := range calls {
+		c := callOf(i)
+		b.Apply(kcrid.Offset(i+1), &kcrentry.Entry{Writer: "desk", Seq: uint64(i + 1), Kind: &kcrentry.Entry_Intent{Intent: &kcrentry.Intent{Team: string(c.Team), Key: string(c.Key)}}})
+	}
+	return b
+}
+
+func fullMeter(plans int) *kcrbudget.Meter {
+	m := kcrbudget.NewMeter(kcrbudget.DefaultMeterRules())
+	for i := range plans {
+		if err := m.Begin("holder", uint64(i+1), planName(i), 1); err != nil {
+			panic(err)
+		}
+		m.End("holder", uint64(i+1))
+		m.Bar("holder", uint64(i+1))
+	}
+	return m
+}
+
+const (
+	exampleVM     = "assistant-llm-117/ABCDEFGHIJ"
+	exampleHolder = "assistant-llm-117/ABCDEFGHIJ/201/3"
+	exampleKey    = "req-ABCDEFGHIJKLMNOP"
+	examplePlan   = "plan-12345"
+	exampleTeam   = "team-123"
+)
+
+// sizes prints the bytes of the records and messages.
+func sizes(w io.Writer) error {
+	entry := func(e *kcrentry.Entry) int {
+		e.Writer, e.Seq = exampleHolder, 100_000
+		return proto.Size(e)
+	}
+	change, err := kcrlist.Change{Set: []kcrlist.Item{{
+		Plan: kcrlist.Plan{Name: examplePlan, Team: exampleTeam, Keys: []string{kcrlist.Digest("x")}, Topups: []kcrlist.Topup{{Name: "2026-12", Tokens: 1 << 30}, {Name: "2027-01", Tokens: 1 << 30}}},
+		Use:  kcrlist.Use{Plan: examplePlan, Models: []kcrid.Model{"model-1", "model-2"}, Rank: 1, Most: 4096},
+	}}}.Encode()
+	if err != nil {
+		return err
+	}
+	rows := []struct {
+		what string
+		size int
+	}{
+		{"record: a claim", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{Plan: examplePlan, Tokens: 1 << 30}}})},
+		{"record: a mark", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{Plan: examplePlan, Back: 1 << 20, Spent: 1 << 30}}})},
+		{"record: a bill", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Bill{Bill: &kcrentry.Bill{Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Tokens: 400, Server: exampleVM, State: "whole"}}})},
+		{"record: an intent", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Intent{Intent: &kcrentry.Intent{Team: exampleTeam, Key: exampleKey, Seen: 1 << 20, Digest: 1 << 60}}})},
+		{"record: an answer kept, 200 bytes", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Done{Done: &kcrentry.Done{Team: exampleTeam, Key: exampleKey, Status: 200, Type: "application/json", Body: make([]byte, 200)}}})},
+		{"record: a change of one plan", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Publish{Publish: &kcrentry.Publish{Base: 1 << 20, Change: change}}})},
+		{"record: an open sidecar", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: &kcrentry.Open{Servers: []string{exampleVM}}}})},
+		{"message: reserve and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Reserve{Reserve: &kcrwire.Reserve{Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Server: exampleVM, Addr: "10.0.0.1:21000", Worst: 2000}}}) +
+			proto.Size(&kcrwire.Reply{Kind: &kcrwire.Reply_Reserved{Reserved: &kcrwire.Reserved{Code: "granted", Holder: exampleHolder, Id: 100_000, Server: exampleVM, Addr: "10.0.0.1:21000"}}})},
+		{"message: settle of one line and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Settle{Settle: &kcrwire.Settle{Server: exampleVM, Holder: exampleHolder, Floor: 100_000, Held: []uint64{100_000, 100_001}, Lines: []*kcrwire.Line{{Id: 100_000, Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Tokens: 400, State: "whole"}}}}}) +
+			proto.Size(&kcrwire.Reply{Kind: &kcrwire.Reply_Settled{Settled: &kcrwire.Settled{Taken: []uint64{100_000}, Durable: []uint64{100_000}, Last: 100_002}}})},
+		{"message: load and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Load{Load: &kcrwire.Load{}}}) +
+			proto.Size(&kcrwire.Reply{Kind: &kcrwire.Reply_Loaded{Loaded: &kcrwire.Loaded{Server: exampleVM, Inflight: 20, Limit: 30, Ready: true, Version: 100_000, Seen: 100_000}}})},
+	}
+	for _, r := range rows {
+		if _, err := fmt.Fprintf(w, "%-52s %d B\n", r.what, r.size); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -49,6 +49,7 @@
 	Plains  int
 	Tokens  kcrid.Tokens // of the first top-up
 	Lag     time.Duration
+	Slots   int // of an upstream, 0 for 16
 	Logger  *slog.Logger
 }
 
@@ -101,8 +102,8 @@
 	s := &kcrsettings.Settings{
 		Region: "region", Zones: zones, Log: a.next(), VMs: a.next(), Buckets: 4, Route: "cost", Escrow: "demand",
 		Services: []kcrsettings.Service{
-			{Name: Model, Kind: kcrsettings.Engine, Models: []kcrid.Model{Model}, Reserve: reserve},
-			{Name: Service, Kind: kcrsettings.Plain},
+			{Name: Model, Kind: kcrsettings.Engine, Models: []kcrid.Model{Model}, Reserve: reserve, Slots: max(size.Slots, 16)},
+			{Name: Service, Kind: kcrsettings.Plain, Slots: 16},
 		},
 	}
 	for i := range size.Routers {
--- a/link/kcrsettings/settings.go
+++ b/link/kcrsettings/settings.go
@@ -23,13 +23,15 @@
 
 // Service is a group of upstreams. Fences tells whether they check the fencing
 // number of an order. Reserve bounds the tokens of an answer whose request
-// names no limit.
+// names no limit. Slots is the number of requests that an upstream is tried
+// with at once before its limit adapts.
 type Service struct {
 	Name    kcrid.Service
 	Kind    Kind
 	Models  []kcrid.Model
 	Fences  bool
 	Reserve kcrid.Tokens
+	Slots   int
 }
 
 // Router is an entry VM.
@@ -68,6 +70,7 @@
 const (
 	maxBuckets = 4096
 	maxReserve = 1 << 20
+	maxSlots   = 1 << 16
 )
 
 // Load reads and checks a settings file.
@@ -183,13 +186,14 @@
 }
 
 func (r *reader) service(_ int, n kcrjson.Node) error {
-	s := Service{Reserve: 1024}
+	s := Service{Reserve: 1024, Slots: 16}
 	err := n.Object(kcrjson.Fields{
 		"name":    func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Name) },
 		"kind":    func(n kcrjson.Node) error { return kind(n, &s.Kind) },
 		"models":  func(n kcrjson.Node) error { return kcrjson.Texts(n, &s.Models) },
 		"fences":  func(n kcrjson.Node) error { return kcrjson.Bool(n, &s.Fences) },
 		"reserve": func(n kcrjson.Node) error { return kcrjson.Int(n, &s.Reserve, 1, maxReserve) },
+		"slots":   func(n kcrjson.Node) error { return kcrjson.Int(n, &s.Slots, 1, maxSlots) },
 	}, "name", "kind")
 	if err != nil {
 		return err
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -89,7 +89,7 @@
 		pool:     c.Pool,
 		upstream: newUpstream(c.Self.Upstream),
 		meter:    kcrbudget.NewMeter(kcrbudget.DefaultMeterRules()),
-		gate:     newGate(c.Clock, kcrlimit.New(kcrlimit.DefaultConfig())),
+		gate:     newGate(c.Clock, kcrlimit.New(limits(service))),
 		tapes:    newTapes(c.Clock),
 		metrics:  newMetrics(c.Metrics),
 	}
@@ -114,6 +114,14 @@
 	return s, nil
 }
 
+// limits returns the bounds of the limiter for a service.
+func limits(service kcrsettings.Service) kcrlimit.Config {
+	c := kcrlimit.DefaultConfig()
+	c.Start = float64(service.Slots)
+	c.High = max(c.High, c.Start)
+	return c
+}
+
 func (s *Sidecar) followIntents(log kcrlog.Log) {
 	s.desk = kcrintent.NewDesk(s.self, kcrintent.DefaultRules(), kcrintent.Memory)
 	d := s.desk
