--- a/bench/kcrmeasure/route.go
+++ b/bench/kcrmeasure/route.go
@@ -22,6 +22,7 @@
 
 // Sizes of the measurement.
 const (
+	routeRegion  = kcrid.Region("region")
 	routeRouters = 3
 	routeZones   = 3
 	routeEngines = 18
@@ -152,11 +153,11 @@
 		config := kcrlimit.DefaultConfig()
 		r.engines = append(r.engines, &engineSim{limiter: kcrlimit.New(config), queued: map[kcrlimit.Ticket]*job{}})
 		ups = append(ups, kcrroute.Upstream{
-			VM: engineName(i), Addr: "addr", Zone: zoneName(i % routeZones), Region: "region", Service: "model",
+			VM: engineName(i), Addr: "addr", Zone: zoneName(i % routeZones), Region: routeRegion, Service: "model",
 		})
 	}
 	for i := range routeRouters {
-		r.tables[i] = kcrroute.New(kcrroute.Home{Zone: zoneName(i % routeZones), Region: "region"}, policy(), r.random.IntN)
+		r.tables[i] = kcrroute.New(kcrroute.Home{Zone: zoneName(i % routeZones), Region: routeRegion}, policy(), r.random.IntN)
 		r.tables[i].Update(ups)
 		r.retries[i] = kcrroute.NewRetryBudget()
 	}
--- a/bench/kcrmeasure/slope.go
+++ b/bench/kcrmeasure/slope.go
@@ -26,6 +26,9 @@
 // of budgets, upstreams, changes and requests. The capacity page is worked out
 // from these slopes.
 
+// slopeServer is the sidecar of all reservations.
+const slopeServer = kcrid.Incarnation("server")
+
 // point is a measurement at one size.
 type point struct {
 	size  float64
@@ -85,14 +88,14 @@
 		Policy: kcrbudget.ByDemand(kcrbudget.DefaultHorizon),
 	})
 	h.Ready()
-	h.Open([]kcrid.Incarnation{"server"})
+	h.Open([]kcrid.Incarnation{slopeServer})
 	for i := range plans {
 		h.Credit(planName(i), "first", 1<<40)
 	}
 	off := kcrid.Offset(0)
 	drainHome(h, &off)
 	for i := range plans {
-		h.Reserve(0, kcrbudget.Ask{Call: callOf(-i - 1), Plan: planName(i), Server: "server", Worst: 1000})
+		h.Reserve(0, kcrbudget.Ask{Call: callOf(-i - 1), Plan: planName(i), Server: slopeServer, Worst: 1000})
 	}
 	drainHome(h, &off)
 	return h
@@ -137,11 +140,11 @@
 }
 
 func routeTable(upstreams int) *kcrroute.Table {
-	t := kcrroute.New(kcrroute.Home{Zone: zoneName(0), Region: "region"}, kcrroute.ByCost, rand.IntN)
+	t := kcrroute.New(kcrroute.Home{Zone: zoneName(0), Region: routeRegion}, kcrroute.ByCost, rand.IntN)
 	var ups []kcrroute.Upstream
 	for i := range upstreams {
 		ups = append(ups, kcrroute.Upstream{
-			VM: kcrid.VM(fmt.Sprint("vm-", i)), Addr: "10.0.0.1:1000", Zone: zoneName(i % 6), Region: "region",
+			VM: kcrid.VM(fmt.Sprint("vm-", i)), Addr: "10.0.0.1:1000", Zone: zoneName(i % 6), Region: routeRegion,
 			Service: kcrid.Service(fmt.Sprint("service-", i%27)),
 		})
 	}
@@ -166,9 +169,9 @@
 		h := bareHome(n)
 		id := uint64(n)
 		reserve = append(reserve, point{float64(n), perCall(20000, func(i int) {
-			ans := h.Reserve(0, kcrbudget.Ask{Call: callOf(i), Plan: planName(i % n), Server: "server", Worst: 100})
+			ans := h.Reserve(0, kcrbudget.Ask{Call: callOf(i), Plan: planName(i % n), Server: slopeServer, Worst: 100})
 			id = ans.ID
-			h.Settle(0, "server", kcrbudget.Report{Lines: []kcrbudget.Line{{ID: id, Call: callOf(i), Plan: planName(i % n), Tokens: 50, State: kcrbudget.Whole}}})
+			h.Settle(0, slopeServer, kcrbudget.Report{Lines: []kcrbudget.Line{{ID: id, Call: callOf(i), Plan: planName(i % n), Tokens: 50, State: kcrbudget.Whole}}})
 		})})
 		tick = append(tick, point{float64(n), perCall(20, func(i int) { h.Tick(kcrclock.Time(i) * 1000) })})
 		_, data, err := h.Snapshot()
@@ -245,8 +248,8 @@
 func busyHome(calls int) *kcrbudget.Home {
 	h := bareHome(1)
 	for i := range calls {
-		ans := h.Reserve(0, kcrbudget.Ask{Call: callOf(i), Plan: planName(0), Server: "server", Worst: 1})
-		h.Settle(0, "server", kcrbudget.Report{Lines: []kcrbudget.Line{{ID: ans.ID, Call: callOf(i), Plan: planName(0), State: kcrbudget.Whole}}})
+		ans := h.Reserve(0, kcrbudget.Ask{Call: callOf(i), Plan: planName(0), Server: slopeServer, Worst: 1})
+		h.Settle(0, slopeServer, kcrbudget.Report{Lines: []kcrbudget.Line{{ID: ans.ID, Call: callOf(i), Plan: planName(0), State: kcrbudget.Whole}}})
 	}
 	return h
 }
@@ -299,14 +302,14 @@
 	}{
 		{"record: a claim", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{Plan: examplePlan, Tokens: 1 << 30}}})},
 		{"record: a mark", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{Plan: examplePlan, Back: 1 << 20, Spent: 1 << 30}}})},
-		{"record: a bill", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Bill{Bill: &kcrentry.Bill{Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Tokens: 400, Server: exampleVM, State: "whole"}}})},
+		{"record: a bill", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Bill{Bill: &kcrentry.Bill{Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Tokens: 400, Server: exampleVM, State: string(kcrbudget.Whole)}}})},
 		{"record: an intent", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Intent{Intent: &kcrentry.Intent{Team: exampleTeam, Key: exampleKey, Seen: 1 << 20, Digest: 1 << 60}}})},
 		{"record: an answer kept, 200 bytes", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Done{Done: &kcrentry.Done{Team: exampleTeam, Key: exampleKey, Status: 200, Type: "application/json", Body: make([]byte, 200)}}})},
 		{"record: a change of one plan", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Publish{Publish: &kcrentry.Publish{Base: 1 << 20, Change: change}}})},
 		{"record: an open sidecar", entry(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: &kcrentry.Open{Servers: []string{exampleVM}}}})},
 		{"message: reserve and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Reserve{Reserve: &kcrwire.Reserve{Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Server: exampleVM, Addr: "10.0.0.1:21000", Worst: 2000}}}) +
 			proto.Size(&kcrwire.Reply{Kind: &kcrwire.Reply_Reserved{Reserved: &kcrwire.Reserved{Code: "granted", Holder: exampleHolder, Id: 100_000, Server: exampleVM, Addr: "10.0.0.1:21000"}}})},
-		{"message: settle of one line and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Settle{Settle: &kcrwire.Settle{Server: exampleVM, Holder: exampleHolder, Floor: 100_000, Held: []uint64{100_000, 100_001}, Lines: []*kcrwire.Line{{Id: 100_000, Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Tokens: 400, State: "whole"}}}}}) +
+		{"message: settle of one line and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Settle{Settle: &kcrwire.Settle{Server: exampleVM, Holder: exampleHolder, Floor: 100_000, Held: []uint64{100_000, 100_001}, Lines: []*kcrwire.Line{{Id: 100_000, Team: exampleTeam, Plan: examplePlan, Key: exampleKey, Tokens: 400, State: string(kcrbudget.Whole)}}}}}) +
 			proto.Size(&kcrwire.Reply{Kind: &kcrwire.Reply_Settled{Settled: &kcrwire.Settled{Taken: []uint64{100_000}, Durable: []uint64{100_000}, Last: 100_002}}})},
 		{"message: load and its answer", proto.Size(&kcrwire.Request{Kind: &kcrwire.Request_Load{Load: &kcrwire.Load{}}}) +
 			proto.Size(&kcrwire.Reply{Kind: &kcrwire.Reply_Loaded{Loaded: &kcrwire.Loaded{Server: exampleVM, Inflight: 20, Limit: 30, Ready: true, Version: 100_000, Seen: 100_000}}})},
--- a/bench/kcrmeasure/speed.go
+++ b/bench/kcrmeasure/speed.go
@@ -12,6 +12,7 @@
 
 	"kingcuprun.example/bench/kcrcaller"
 	"kingcuprun.example/bench/kcrrig"
+	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/standin/kcrstandin"
 )
 
@@ -81,7 +82,7 @@
 			tallies[i].bad.Add(t.bad.Load())
 		}
 	}
-	form := "whole"
+	form := string(kcrbudget.Whole)
 	if stream {
 		form = "stream"
 	}
--- /dev/null
+++ b/kernel/kcrbudget/example_test.go
@@ -0,0 +1,60 @@
+package kcrbudget_test
+
+import (
+	"fmt"
+
+	"kingcuprun.example/kernel/kcrbudget"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
+// A home is driven by its caller: entries go from Batch to the log, records
+// come back through Apply, and time is an argument.
+func ExampleHome() {
+	home := kcrbudget.NewHome(kcrbudget.Config{
+		Self:        "home-1",
+		Rules:       kcrbudget.DefaultHomeRules(),
+		LedgerRules: kcrbudget.DefaultLedgerRules(),
+		Policy:      kcrbudget.ByDemand(kcrbudget.DefaultHorizon),
+	})
+	meter := kcrbudget.NewMeter(kcrbudget.DefaultMeterRules())
+	now, offset := kcrclock.Time(0), kcrid.Offset(0)
+	exchange := func() {
+		records, _ := home.Batch(100)
+		for _, data := range records {
+			entry, err := kcrlog.Decode(data)
+			if err != nil {
+				panic(err)
+			}
+			offset++
+			home.Apply(now, offset, entry)
+		}
+	}
+
+	home.Ready()
+	home.Credit("plan", "december", 1000)
+	ask := kcrbudget.Ask{Call: kcrid.Call{Team: "team", Key: "key"}, Plan: "plan", Server: "sidecar-1", Worst: 100}
+	ans := home.Reserve(now, ask)
+	for ans.Code == kcrbudget.Pending {
+		exchange()
+		ans = home.Reserve(now, ask)
+	}
+	fmt.Println(ans.Code)
+
+	if err := meter.Begin(home.Self(), ans.ID, "plan", 100); err != nil {
+		panic(err)
+	}
+	if err := meter.Use(home.Self(), ans.ID, 42); err != nil {
+		panic(err)
+	}
+	used := meter.End(home.Self(), ans.ID)
+	home.Settle(now, "sidecar-1", kcrbudget.Report{Lines: []kcrbudget.Line{
+		{ID: ans.ID, Call: ask.Call, Plan: "plan", Tokens: used, State: kcrbudget.Whole},
+	}})
+	account, free := home.Account("plan")
+	fmt.Println(account.Prepaid, account.Available(), free)
+	// Output:
+	// granted
+	// 1000 600 358
+}
--- /dev/null
+++ b/kernel/kcrlist/list_test.go
@@ -0,0 +1,98 @@
+package kcrlist
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
+const usesMark = "-- uses --\n"
+
+// TestLists reads the two lists of each case, parted by a mark, and prints the
+// plans or the fault.
+func TestLists(t *testing.T) {
+	t.Parallel()
+	datadriven.RunTest(t, "testdata/lists", func(_ *testing.T, d *datadriven.TestData) string {
+		plans, uses, _ := strings.Cut(d.Input, usesMark)
+		plans = strings.ReplaceAll(plans, "DIGEST", Digest("key"))
+		items, err := Parse("plans.jsonc", []byte(plans), "uses.jsonc", []byte(uses))
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		var out strings.Builder
+		for _, it := range sorted(items) {
+			out.WriteString(string(it.Plan.Name) + " " + string(it.Plan.Team) + "\n")
+		}
+		return out.String()
+	})
+}
+
+func publish(s *State, off kcrid.Offset, base kcrid.Offset, c Change) Verdict {
+	data, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return s.Apply(off, &kcrentry.Entry{Kind: &kcrentry.Entry_Publish{Publish: &kcrentry.Publish{Base: uint64(base), Change: data}}})
+}
+
+// A top-up that was published can neither go nor change, also over a time in
+// which its plan was dropped.
+func TestTopupsStay(t *testing.T) {
+	t.Parallel()
+	plan := func(tokens kcrid.Tokens) Item {
+		return Item{Plan: Plan{Name: "p", Team: "t", Topups: []Topup{{Name: "first", Tokens: tokens}}}}
+	}
+	s := NewState(DefaultRules())
+	steps := []struct {
+		name   string
+		change Change
+		want   bool
+	}{
+		{"new plan", Change{Set: []Item{plan(10)}}, true},
+		{"other amount", Change{Set: []Item{plan(20)}}, false},
+		{"no top-up", Change{Set: []Item{{Plan: Plan{Name: "p", Team: "t"}}}}, false},
+		{"dropped", Change{Drop: []kcrid.Plan{"p"}}, true},
+		{"back with another amount", Change{Set: []Item{plan(20)}}, false},
+		{"back as it was", Change{Set: []Item{plan(10)}}, true},
+	}
+	for i, step := range steps {
+		if v := publish(s, kcrid.Offset(i+1), s.Version(), step.change); v.Accepted != step.want {
+			t.Errorf("%s: expected accepted %v, got %v (%s)", step.name, step.want, v.Accepted, v.Reason)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"plans": [{"name": "a", "team": "b", "keys": [], "topups": [{"name": "x", "tokens": 1}]}]}`), []byte(`{"uses": [{"plan": "a", "most": 5}]}`))
+	f.Add([]byte(`{"plans": [,]}`), []byte(`[]`))
+	f.Add([]byte(`// nothing`), []byte(``))
+	f.Fuzz(func(_ *testing.T, plans, uses []byte) {
+		_, _ = Parse("plans", plans, "uses", uses)
+	})
+}
+
+func FuzzState(f *testing.F) {
+	f.Add([]byte(`{"set":[{"plan":{"name":"p","team":"t"}}]}`), []byte(`{"at":7,"items":[]}`))
+	f.Add([]byte(`{"drop":["p"]}`), []byte(`{`))
+	f.Fuzz(func(t *testing.T, change, snapshot []byte) {
+		s := NewState(DefaultRules())
+		s.Apply(1, &kcrentry.Entry{Kind: &kcrentry.Entry_Publish{Publish: &kcrentry.Publish{Change: change}}})
+		_, _ = s.Restore(snapshot)
+		if _, _, err := s.Snapshot(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x0a\x01w\x10\x01"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = kcrlog.Decode(data)
+	})
+}
--- a/kernel/kcrroute/table.go
+++ b/kernel/kcrroute/table.go
@@ -97,13 +97,14 @@
 	policy Policy
 	random func(n int) int
 
-	mu      sync.Mutex
-	entries map[kcrid.VM]*entry
+	mu        sync.Mutex
+	entries   map[kcrid.VM]*entry
+	byService map[kcrid.Service][]*entry
 }
 
 // New returns an empty table. Random returns a number below n.
 func New(home Home, policy Policy, random func(n int) int) *Table {
-	return &Table{home: home, policy: policy, random: random, entries: map[kcrid.VM]*entry{}}
+	return &Table{home: home, policy: policy, random: random, entries: map[kcrid.VM]*entry{}, byService: map[kcrid.Service][]*entry{}}
 }
 
 // Update takes in a VM list. Entries that are no longer listed go.
@@ -120,10 +121,13 @@
 		}
 		e.up = u
 	}
-	for vm := range t.entries {
+	clear(t.byService)
+	for vm, e := range t.entries {
 		if !listed[vm] {
 			delete(t.entries, vm)
+			continue
 		}
+		t.byService[e.up.Service] = append(t.byService[e.up.Service], e)
 	}
 }
 
@@ -200,10 +204,7 @@
 func (t *Table) candidates(now kcrclock.Time, n Need, c *Choice) (out []State) {
 	var down []State
 	fan := t.fan(n.Service)
-	for _, e := range t.entries {
-		if e.up.Service != n.Service {
-			continue
-		}
+	for _, e := range t.byService[n.Service] {
 		if reason := e.unfit(n); reason != "" {
 			c.Passed = append(c.Passed, fmt.Sprintf("%s %s", e.up.VM, reason))
 			continue
@@ -233,8 +234,8 @@
 // each request of this router, from reports of any age.
 func (t *Table) fan(s kcrid.Service) float64 {
 	reported, base := 0, 0
-	for _, e := range t.entries {
-		if e.up.Service == s && e.report.Limit > 0 {
+	for _, e := range t.byService[s] {
+		if e.report.Limit > 0 {
 			reported += e.report.Inflight + e.report.Queue
 			base += e.base
 		}
--- /dev/null
+++ b/link/kcrlink/link_test.go
@@ -0,0 +1,68 @@
+package kcrlink
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"kingcuprun.example/link/kcrwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestCall(t *testing.T) {
+	t.Parallel()
+	s, err := Listen("127.0.0.1:0", func(_ context.Context, req *kcrwire.Request, st *Stream) {
+		if req.GetLoad() == nil {
+			return
+		}
+		_ = st.Send(&kcrwire.Reply{Kind: &kcrwire.Reply_Loaded{Loaded: &kcrwire.Loaded{Server: "s"}}})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	p := NewPool()
+	defer p.Close()
+	reply, err := p.Call(context.Background(), s.Addr(), &kcrwire.Request{Kind: &kcrwire.Request_Load{Load: &kcrwire.Load{}}})
+	if err != nil || reply.GetLoaded().GetServer() != "s" {
+		t.Errorf("expected the reply of s, got %v (%v)", reply, err)
+	}
+	_, err = p.Call(context.Background(), s.Addr(), &kcrwire.Request{})
+	if err == nil || errors.Is(err, ErrUnsent) {
+		t.Errorf("expected an error that proves nothing, got %v", err)
+	}
+	p.SetCut(func(string) bool { return true })
+	if _, err = p.Call(context.Background(), s.Addr(), &kcrwire.Request{}); !errors.Is(err, ErrUnsent) {
+		t.Errorf("expected ErrUnsent, got %v", err)
+	}
+}
+
+// FuzzMessage reads any bytes as the messages of a call.
+func FuzzMessage(f *testing.F) {
+	var buf bytes.Buffer
+	for _, m := range []*kcrwire.Request{
+		{Kind: &kcrwire.Request_Start{Start: &kcrwire.Start{Team: "t", Key: "k", Method: "POST", Path: "/"}}},
+		{Kind: &kcrwire.Request_Settle{Settle: &kcrwire.Settle{Lines: []*kcrwire.Line{{Id: 1}}}}},
+	} {
+		buf.Reset()
+		if _, err := protodelim.MarshalTo(&buf, m); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(append([]byte(nil), buf.Bytes()...))
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var req kcrwire.Request
+		var frame kcrwire.Frame
+		st := &Stream{reader: bufio.NewReader(bytes.NewReader(data))}
+		_ = st.Recv(&req)
+		st = &Stream{reader: bufio.NewReader(bytes.NewReader(data))}
+		_ = st.Recv(&frame)
+	})
+}
--- a/sidecar/kcrsidecar/homes.go
+++ b/sidecar/kcrsidecar/homes.go
@@ -388,8 +388,26 @@
 	h.wait.Wait()
 }
 
-// ranked returns the sidecars that may be home of a bucket, best first.
+// ranking is the order of the sidecars as homes, by bucket, for one VM list.
+type ranking struct {
+	mu       sync.Mutex
+	byBucket map[kcrid.Bucket][]kcrplatform.VM
+}
+
+// reset forgets the order when the VM list changes.
+func (r *ranking) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byBucket = map[kcrid.Bucket][]kcrplatform.VM{}
+}
+
+// ranked returns the sidecars that are asked as homes of a bucket, best first.
 func (s *Sidecar) ranked(b kcrid.Bucket) []kcrplatform.VM {
+	s.ranking.mu.Lock()
+	defer s.ranking.mu.Unlock()
+	if order, ok := s.ranking.byBucket[b]; ok {
+		return order
+	}
 	var out []kcrplatform.VM
 	for _, vm := range s.fleet.VMs() {
 		if vm.Region == s.config.Settings.Region && vm.State != kcrplatform.StateLeaving {
@@ -400,6 +418,8 @@
 	sort.Slice(out, func(i, j int) bool {
 		return kcrid.Ranked(item, string(out[i].Name)) > kcrid.Ranked(item, string(out[j].Name))
 	})
+	out = out[:min(homesTried, len(out))]
+	s.ranking.byBucket[b] = out
 	return out
 }
 
@@ -414,8 +434,7 @@
 // reached, the next in rank.
 func (s *Sidecar) reserve(ctx context.Context, a kcrbudget.Ask) (g grant, ans kcrbudget.Answer) {
 	ans.Code = kcrbudget.Unknowable
-	ranked := s.ranked(kcrid.BucketOf(a.Plan, s.config.Settings.Buckets))
-	for _, vm := range ranked[:min(homesTried, len(ranked))] {
+	for _, vm := range s.ranked(kcrid.BucketOf(a.Plan, s.config.Settings.Buckets)) {
 		holder, got, err := s.ask(ctx, vm, a)
 		if err != nil || got.Code == kcrbudget.Deposed {
 			continue
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -56,6 +56,7 @@
 	gate     *gate
 	tapes    *tapes
 	homes    *homes
+	ranking  ranking
 	settler  *settler
 	desk     *kcrintent.Desk
 	intents  *kcrdaemon.Follower
@@ -94,7 +95,8 @@
 		metrics:  newMetrics(c.Metrics),
 	}
 	s.crashes = newCrashes(kcrlog.NewOutbox(c.Server), string(c.Server))
-	s.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, func([]kcrplatform.VM) {})
+	s.ranking.reset()
+	s.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, func([]kcrplatform.VM) { s.ranking.reset() })
 	log := c.Platform.Log()
 	s.lists = kcrdaemon.NewConfig(s.state, log, s.pool, s.peers, c.Logger, s.crashes.batch, s.listsChanged)
 	s.homes = newHomes(s, log)
