A home keeps no grants for its own runs, and silent homes are passed over

Cause, seen by freezing the process of a home for 20 s in a running deployment: every one of 30 requests waited 1.15 s for it, and its grants did not come back before it woke, since its own sidecar was among those that a recovery must ask. A VM that dies would so have kept its budgets' escrow for good.

Change: a sidecar takes reservations for its own runs from the next home in rank, so each is known to two VMs; it notes the run at its own home, where copies of the call look for it. A home that did not answer is passed over until a probe reaches it. A refusal for an unknown budget is tried at another upstream, and a home that has not heard the log for 4 s does not wait for it.

--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -299,6 +299,35 @@
 	return Answer{Code: Pending}
 }
 
+// Note records that a call runs at a sidecar under a reservation of another
+// home, so that a copy of the call that comes here does not run too. The answer
+// is Granted, without a reservation, or Running.
+func (h *Home) Note(a Ask) Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ans, ok := h.known(a); ok && ans.Code == Running {
+		return ans
+	}
+	h.calls[a.Call] = &call{plan: a.Plan, server: a.Server, addr: a.Addr}
+	return Answer{Code: Granted}
+}
+
+// Noted ends a call that Note recorded.
+func (h *Home) Noted(now kcrclock.Time, key kcrid.Call, s State) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.calls[key]
+	if c == nil || c.id != 0 || c.done {
+		return
+	}
+	if s != Whole {
+		delete(h.calls, key)
+		return
+	}
+	c.done, c.doneAt = true, now
+	h.ended = append(h.ended, key)
+}
+
 // known answers for a call that was seen before.
 func (h *Home) known(a Ask) (Answer, bool) {
 	c, ok := h.calls[a.Call]
@@ -455,7 +484,7 @@
 
 func (h *Home) settle(now kcrclock.Time, from kcrid.Incarnation, l Line) {
 	c := h.calls[l.Call]
-	if c == nil || c.done || c.server != from || l.ID != c.id {
+	if c == nil || c.done || c.server != from || l.ID != c.id || c.id == 0 {
 		return
 	}
 	used := max(0, min(l.Tokens, c.worst))
@@ -650,7 +679,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, c := range h.calls {
-		if !c.done {
+		if !c.done && c.id != 0 {
 			outstanding++
 		}
 	}
--- a/kernel/kcrbudget/recovery.go
+++ b/kernel/kcrbudget/recovery.go
@@ -35,16 +35,18 @@
 	return h.ledger.Others(h.self)
 }
 
-// Suspect starts the recovery of a holder. Calling it again does nothing.
-func (h *Home) Suspect(holder kcrid.Incarnation) {
+// Suspect starts the recovery of a holder and tells whether it did. Calling it
+// again does nothing.
+func (h *Home) Suspect(holder kcrid.Incarnation) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state := h.ledger.Holder(holder)
 	if !h.ready || h.deposed() || state == nil || state.Fenced != 0 || h.fencing[holder] {
-		return
+		return false
 	}
 	h.fencing[holder] = true
 	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Fence{Fence: &kcrentry.Fence{Holder: string(holder)}}})
+	return true
 }
 
 // Orders returns the evidence that is still missing, sorted.
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -52,7 +52,7 @@
 	logger *slog.Logger
 	next   kcrid.Offset
 	snapAt kcrid.Offset
-	heard  atomic.Int64 // unix ms of the last successful read at the end
+	heard  atomic.Int64 // unix ms of the last read up to the end, or of the start
 	cancel context.CancelFunc
 	wait   conc.WaitGroup
 }
@@ -61,6 +61,7 @@
 func NewFollower(log kcrlog.Log, stream kcrid.Stream, fold Fold, logger *slog.Logger) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{log: log, stream: stream, fold: fold, logger: logger, next: fold.At() + 1, cancel: cancel}
+	f.heard.Store(time.Now().UnixMilli())
 	f.wait.Go(func() { f.read(ctx) })
 	if fold.Batch != nil {
 		f.wait.Go(func() { f.write(ctx) })
--- a/router/kcrrouter/attempt.go
+++ b/router/kcrrouter/attempt.go
@@ -46,13 +46,17 @@
 	r.retries.Request()
 	s := &search{r: r, q: q, tried: map[kcrid.VM]bool{}, seen: r.seen(q.service.Name)}
 	for s.attempt = 1; s.attempt <= maxAttempts; s.attempt++ {
-		a, err = s.try(ctx)
-		if err == nil || !s.again(err) {
+		if a, err = s.try(ctx); err == nil {
+			return a, nil
+		}
+		if errors.Is(err, errNoCandidate) && s.last != nil {
+			err = s.last
+			break
+		}
+		s.last = err
+		if !s.again(err) {
 			break
 		}
-	}
-	if err == nil {
-		return a, nil
 	}
 	return nil, r.final(ctx, q, s, err)
 }
@@ -66,6 +70,7 @@
 	target  string // sidecar that has the answer
 	seen    kcrid.Offset
 	maybe   bool
+	last    error // of the attempt before
 }
 
 // place chooses where the next attempt goes.
@@ -79,7 +84,7 @@
 	s.r.journal.Add(s.q.id, "route", "attempt", s.attempt, "team", s.q.item.Plan.Team, "plan", s.q.item.Plan.Name,
 		"service", s.q.service.Name, "vm", c.VM, "addr", c.Addr, "why", c.Why, "passed", c.Passed)
 	if c.Addr == "" {
-		return c, &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: noCandidate, After: 1}
+		return c, errNoCandidate
 	}
 	return c, nil
 }
@@ -139,12 +144,15 @@
 		return false
 	}
 	var refusal *kcrerror.Refusal
+	if errors.Is(err, errNoCandidate) {
+		return false
+	}
 	if errors.As(err, &refusal) {
 		switch refusal.Code {
 		case kcrerror.Leaving, kcrerror.Elsewhere:
 			return true
-		case kcrerror.Overloaded, kcrerror.NoUpstream, kcrerror.Broken, kcrerror.Crashed:
-			return refusal.Text != noCandidate && s.r.retries.Retry()
+		case kcrerror.Overloaded, kcrerror.NoUpstream, kcrerror.Unknowable, kcrerror.Broken, kcrerror.Crashed:
+			return s.r.retries.Retry()
 		default:
 			return false
 		}
@@ -152,8 +160,8 @@
 	return errors.Is(err, kcrlink.ErrUnsent) || s.r.retries.Retry()
 }
 
-// noCandidate marks refusals of the router itself.
-const noCandidate = "no upstream can take the request"
+// errNoCandidate is the router's own refusal, where no attempt can be made.
+var errNoCandidate = &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: "no upstream can take the request", After: 1}
 
 // final turns the last error into what the caller is told. "Not run" is said
 // only where it is proved.
--- a/sidecar/kcrsidecar/generate.go
+++ b/sidecar/kcrsidecar/generate.go
@@ -151,6 +151,12 @@
 		return
 	}
 	defer s.gate.leave(t)
+	done, err := s.note(r, w)
+	if err != nil {
+		s.finish(r, w, "refused", 0, err)
+		return
+	}
+	defer func() { done(ending(whole)) }()
 	g, err := s.fund(ctx, r, w)
 	if err != nil {
 		s.finish(r, w, "refused", 0, err)
@@ -159,6 +165,27 @@
 	whole = s.engine(ctx, r, w, g, apart)
 }
 
+func ending(whole bool) kcrbudget.State {
+	if whole {
+		return kcrbudget.Whole
+	}
+	return kcrbudget.Void
+}
+
+// note makes sure that a copy of the call which asks this sidecar as a home
+// finds the run.
+func (s *Sidecar) note(r *kcrwire.Start, w *work) (done func(kcrbudget.State), err error) {
+	plan := kcrid.Plan(r.GetPlan())
+	if !s.first(kcrid.BucketOf(plan, s.config.Settings.Buckets)) {
+		return func(kcrbudget.State) {}, nil
+	}
+	ans, done := s.homes.note(kcrbudget.Ask{Call: w.call, Plan: plan, Server: s.self, Addr: s.config.Self.Listen})
+	if ans.Code == kcrbudget.Running && ans.Server != s.self {
+		return nil, budgetRefusal(ans)
+	}
+	return done, nil
+}
+
 // notRun makes a refusal of an error that came before the upstream.
 func notRun(err error) error {
 	var r *kcrerror.Refusal
--- a/sidecar/kcrsidecar/homes.go
+++ b/sidecar/kcrsidecar/homes.go
@@ -32,7 +32,11 @@
 	evidenceTime = 500 * time.Millisecond
 	homesTried   = 3
 	lookInterval = 2 * kcrclock.Second
-	meetMost     = 16
+	// staleLog is the age at which a home does not wait for the log.
+	staleLog = 4 * kcrclock.Second
+	// probeInterval is the time between questions to a home that is silent.
+	probeInterval = time.Second
+	meetMost      = 16
 )
 
 // bucketHome is one home with its follower.
@@ -146,7 +150,7 @@
 	start := h.s.clock.Now()
 	for {
 		now := h.s.clock.Now()
-		a.Last = now.Sub(start) >= reserveWait || ctx.Err() != nil
+		a.Last = now.Sub(start) >= reserveWait || ctx.Err() != nil || bh.follower.Lag() > staleLog
 		h.credit(bh.home, a.Plan)
 		ans := bh.home.Reserve(now, a)
 		if ans.Code != kcrbudget.Pending {
@@ -158,6 +162,17 @@
 	}
 }
 
+// note records a run of this process at its own home of the plan's bucket,
+// which is where others look for it, and returns how to end the record.
+func (h *homes) note(a kcrbudget.Ask) (kcrbudget.Answer, func(kcrbudget.State)) {
+	bh := h.get(kcrid.BucketOf(a.Plan, h.s.config.Settings.Buckets))
+	if bh == nil {
+		return kcrbudget.Answer{Code: kcrbudget.Granted}, func(kcrbudget.State) {}
+	}
+	ans := bh.home.Note(a)
+	return ans, func(st kcrbudget.State) { bh.home.Noted(h.s.clock.Now(), a.Call, st) }
+}
+
 // credit sees to it that the plan's top-ups of the lists are on the ledger.
 func (h *homes) credit(home *kcrbudget.Home, p kcrid.Plan) {
 	item, ok := h.s.state.Item(p)
@@ -258,7 +273,7 @@
 	var servers []kcrid.Incarnation
 	tries := 0
 	for _, vm := range h.s.fleet.VMs() {
-		if vm.Region != h.s.config.Settings.Region || bh.met[vm.Name] || tries == meetMost {
+		if !h.s.mayHold(vm) || bh.met[vm.Name] || tries == meetMost {
 			continue
 		}
 		tries++
@@ -297,9 +312,8 @@
 			delete(bh.missing, holder)
 		case bh.missing[holder] == 0:
 			bh.missing[holder] = now
-		case now.Sub(bh.missing[holder]) > deadAfter:
+		case now.Sub(bh.missing[holder]) > deadAfter && bh.home.Suspect(holder):
 			h.s.config.Logger.Warn("holder suspected", "holder", holder, "by", bh.home.Self())
-			bh.home.Suspect(holder)
 		}
 	}
 }
@@ -388,10 +402,67 @@
 	h.wait.Wait()
 }
 
-// ranking is the order of the sidecars as homes, by bucket, for one VM list.
+// ranking is the order of the sidecars as homes, by bucket, for one VM list,
+// and which of them did not answer and have not answered a probe since.
 type ranking struct {
 	mu       sync.Mutex
 	byBucket map[kcrid.Bucket][]kcrplatform.VM
+	silent   map[kcrid.VM]kcrplatform.VM
+}
+
+// heard notes whether a home answered. One that did not is passed over, so
+// that only the first requests wait for it.
+func (r *ranking) heard(vm kcrplatform.VM, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		delete(r.silent, vm.Name)
+		return
+	}
+	r.silent[vm.Name] = vm
+}
+
+// answering returns the homes that are not passed over, or all if none is left.
+func (r *ranking) answering(order []kcrplatform.VM) (out []kcrplatform.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, vm := range order {
+		if _, silent := r.silent[vm.Name]; !silent {
+			out = append(out, vm)
+		}
+	}
+	if len(out) == 0 {
+		return order
+	}
+	return out
+}
+
+// quiet returns the homes that are passed over.
+func (r *ranking) quiet() (out []kcrplatform.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, vm := range r.silent {
+		out = append(out, vm)
+	}
+	return out
+}
+
+// probe asks silent homes, so that no request has to.
+func (s *Sidecar) probe(ctx context.Context) {
+	t := time.NewTicker(probeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, vm := range s.ranking.quiet() {
+			if _, err := s.loadOf(vm); err == nil {
+				s.ranking.heard(vm, true)
+			}
+		}
+	}
 }
 
 // reset forgets the order when the VM list changes.
@@ -399,9 +470,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byBucket = map[kcrid.Bucket][]kcrplatform.VM{}
+	r.silent = map[kcrid.VM]kcrplatform.VM{}
 }
 
 // ranked returns the sidecars that are asked as homes of a bucket, best first.
+// A sidecar is no home for its own runs unless it is alone: what it served must
+// be known to another VM if it dies.
 func (s *Sidecar) ranked(b kcrid.Bucket) []kcrplatform.VM {
 	s.ranking.mu.Lock()
 	defer s.ranking.mu.Unlock()
@@ -410,10 +484,13 @@
 	}
 	var out []kcrplatform.VM
 	for _, vm := range s.fleet.VMs() {
-		if vm.Region == s.config.Settings.Region && vm.State != kcrplatform.StateLeaving {
+		if s.mayHold(vm) && vm.State != kcrplatform.StateLeaving {
 			out = append(out, vm)
 		}
 	}
+	if len(out) == 0 {
+		out = append(out, s.ownEntry())
+	}
 	item := fmt.Sprint(b)
 	sort.Slice(out, func(i, j int) bool {
 		return kcrid.Ranked(item, string(out[i].Name)) > kcrid.Ranked(item, string(out[j].Name))
@@ -423,6 +500,25 @@
 	return out
 }
 
+// first tells whether this sidecar is where others look for the calls of a
+// bucket.
+func (s *Sidecar) first(b kcrid.Bucket) bool {
+	order := s.ranked(b)
+	item := fmt.Sprint(b)
+	own := kcrid.Ranked(item, string(s.config.Self.VM))
+	return order[0].Name != s.config.Self.VM && own > kcrid.Ranked(item, string(order[0].Name))
+}
+
+// mayHold tells whether a VM may be a home for runs here.
+func (s *Sidecar) mayHold(vm kcrplatform.VM) bool {
+	return vm.Region == s.config.Settings.Region && vm.Name != s.config.Self.VM
+}
+
+func (s *Sidecar) ownEntry() kcrplatform.VM {
+	c := s.config
+	return kcrplatform.VM{Name: c.Self.VM, Addr: c.Self.Listen, Zone: c.Self.Zone, Region: c.Settings.Region, Service: c.Self.Service}
+}
+
 // grant is a reservation that this sidecar holds.
 type grant struct {
 	holder kcrid.Incarnation
@@ -434,8 +530,10 @@
 // reached, the next in rank.
 func (s *Sidecar) reserve(ctx context.Context, a kcrbudget.Ask) (g grant, ans kcrbudget.Answer) {
 	ans.Code = kcrbudget.Unknowable
-	for _, vm := range s.ranked(kcrid.BucketOf(a.Plan, s.config.Settings.Buckets)) {
+	order := s.ranked(kcrid.BucketOf(a.Plan, s.config.Settings.Buckets))
+	for _, vm := range s.ranking.answering(order) {
 		holder, got, err := s.ask(ctx, vm, a)
+		s.ranking.heard(vm, err == nil)
 		if err != nil || got.Code == kcrbudget.Deposed {
 			continue
 		}
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -113,6 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.wait.Go(func() { s.tick(ctx) })
+	s.wait.Go(func() { s.probe(ctx) })
 	return s, nil
 }
 
