--- /dev/null
+++ b/bench/kcrrig/retention_test.go
@@ -0,0 +1,75 @@
+package kcrrig
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"kingcuprun.example/bench/kcrcaller"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/standin/kcrstandin"
+)
+
+// Every process is replaced after retention has dropped all records but the
+// newest: lists, budgets and intents come from snapshots.
+func TestRetentionPasses(t *testing.T) {
+	t.Parallel()
+	r := start(t, Size{Routers: 1, Engines: 2, Plains: 2, Tokens: 100_000, Snap: kcrclock.Second})
+	c, ctx := kcrcaller.New(APIKey), context.Background()
+	addr := r.Settings.Routers[0].Listen
+	for range 4 {
+		if a := c.Chat(ctx, addr, Model, "before want=100", "", false); !a.Whole(false) {
+			t.Fatalf("expected an answer, got %d %s", a.Status, a.Body)
+		}
+	}
+	if a := c.Do(ctx, "POST", addr, "/services/"+Service+"/book", "booked", nil); classify(a) != ran {
+		t.Fatalf("expected an answer, got %d %s", a.Status, a.Body)
+	}
+	time.Sleep(4 * time.Second)
+	r.replaceAfterRetention(t)
+	deadline := time.Now().Add(20 * time.Second)
+	a := c.Chat(ctx, addr, Model, "after", "", false)
+	for !a.Whole(false) && time.Now().Before(deadline) {
+		time.Sleep(faultTime)
+		a = c.Chat(ctx, addr, Model, "after", "", false)
+	}
+	if !a.Whole(false) {
+		t.Errorf("expected an answer from the snapshots, got %d %s", a.Status, a.Body)
+	}
+	if a := c.Do(ctx, "POST", addr, "/services/"+Service+"/book", "booked", nil); classify(a) != ran || r.Effects.Of("booked") != 1 {
+		t.Errorf("expected the kept answer of the booking, got %d %s, %d effects", a.Status, a.Body, r.Effects.Of("booked"))
+	}
+	l, err := r.Operator.Ledger(ctx, Plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if acc := l.Account(Plan); acc.Prepaid != 100_000 || acc.Available() < 0 {
+		t.Errorf("expected the top-up once, got %+v", acc)
+	}
+}
+
+// replaceAfterRetention kills every process, drops all records but the newest
+// of each stream, and starts the processes again.
+func (r *Rig) replaceAfterRetention(t *testing.T) {
+	t.Helper()
+	for i := range r.Sidecars {
+		r.Sidecars[i].Kill()
+	}
+	r.Routers[0].Stop(context.Background())
+	r.Log.Fault(kcrstandin.LogFaults{Keep: 1})
+	r.Log.Fault(kcrstandin.LogFaults{})
+	var err error
+	for i := range r.Sidecars {
+		if r.Sidecars[i], err = r.StartSidecar(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if r.Routers[0], err = r.StartRouter(0); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(20 * time.Second); r.Routers[0].Version() == 0; time.Sleep(settlePause) {
+		if time.Now().After(deadline) {
+			t.Fatal("expected the lists from a snapshot, got none")
+		}
+	}
+}
--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -50,6 +50,7 @@
 	Tokens  kcrid.Tokens // of the first top-up
 	Lag     time.Duration
 	Slots   int // of an upstream, 0 for 16
+	Snap    kcrclock.Duration
 	Logger  *slog.Logger
 }
 
@@ -100,7 +101,7 @@
 	a := newAddresses()
 	zones := []kcrid.Zone{"zone-a", "zone-b", "zone-c"}
 	s := &kcrsettings.Settings{
-		Region: "region", Zones: zones, Log: a.next(), VMs: a.next(), Buckets: 4, Route: "cost", Escrow: "demand",
+		Region: "region", Zones: zones, Log: a.next(), VMs: a.next(), Buckets: 4, Snap: max(size.Snap, kcrclock.Second), Route: "cost", Escrow: "demand",
 		Services: []kcrsettings.Service{
 			{Name: Model, Kind: kcrsettings.Engine, Models: []kcrid.Model{Model}, Reserve: reserve, Slots: max(size.Slots, 16)},
 			{Name: Service, Kind: kcrsettings.Plain, Slots: 16},
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -144,6 +144,7 @@
 	ready    bool
 	retired  bool
 	nextID   uint64
+	markedAt kcrclock.Time
 	purses   map[kcrid.Plan]*purse
 	calls    map[kcrid.Call]*call
 	ended    []kcrid.Call // finished calls, oldest first
@@ -158,7 +159,6 @@
 	reserved  kcrid.Tokens
 	backing   kcrid.Tokens // given back, not confirmed
 	marked    kcrid.Tokens
-	markedAt  kcrclock.Time
 	claiming  uint64 // sequence of the claim in flight
 	deniedAt  kcrclock.Time
 	denied    bool
@@ -607,8 +607,12 @@
 	if !h.ready || h.retired || h.deposed() {
 		return
 	}
+	mark := now.Sub(h.markedAt) >= markInterval
+	if mark {
+		h.markedAt = now
+	}
 	for p, pu := range h.purses {
-		h.tickPurse(now, p, pu)
+		h.tickPurse(now, p, pu, mark)
 	}
 	h.forget(now)
 	h.tickRecovery(now)
@@ -628,7 +632,9 @@
 	}
 }
 
-func (h *Home) tickPurse(now kcrclock.Time, p kcrid.Plan, pu *purse) {
+// tickPurse does what is due for one plan. Spending is reported for all plans
+// at once, so that it takes one append.
+func (h *Home) tickPurse(now kcrclock.Time, p kcrid.Plan, pu *purse, mark bool) {
 	pu.smooth(now, h.ledger.SpentElsewhere(p, h.self))
 	amount := h.ledger.Grant(h.self, p).Amount
 	if amount == 0 {
@@ -642,8 +648,7 @@
 		h.giveBack(p, free)
 	case !idle && float64(free) < refillBelow*float64(target):
 		h.claim(now, p, pu.worst)
-	case pu.spent != pu.marked && now.Sub(pu.markedAt) >= markInterval:
-		pu.markedAt = now
+	case mark && pu.spent != pu.marked:
 		h.giveBack(p, 0)
 	}
 }
--- a/link/kcrdaemon/config.go
+++ b/link/kcrdaemon/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlist"
@@ -22,7 +23,7 @@
 const (
 	peerInterval = 2 * time.Second
 	peerTimeout  = time.Second
-	staleAfter   = 5 * 1000 // ms without the end of the stream
+	staleAfter   = 7 * kcrclock.Second // without the end of the stream
 )
 
 // Config keeps the configuration in force.
@@ -36,24 +37,36 @@
 	wait     conc.WaitGroup
 }
 
-// NewConfig starts to keep state up to date with the configuration stream.
-// Batch may be nil; changed is called after each record.
-func NewConfig(state *kcrlist.State, log kcrlog.Log, pool *kcrlink.Pool, peers func() []string, logger *slog.Logger,
-	batch func(int) ([][]byte, uint64), changed func(*kcrentry.Entry),
-) *Config {
+// ConfigOptions are the parts of a Config. Batch may be nil; Changed is called
+// after each record.
+type ConfigOptions struct {
+	State   *kcrlist.State
+	Log     kcrlog.Log
+	Pool    *kcrlink.Pool
+	Peers   func() []string
+	Logger  *slog.Logger
+	Batch   func(int) ([][]byte, uint64)
+	Changed func(*kcrentry.Entry)
+	Carries func() bool
+	Every   time.Duration // between snapshots
+}
+
+// NewConfig starts to keep a state up to date with the configuration stream.
+func NewConfig(o ConfigOptions) *Config {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Config{State: state, pool: pool, peers: peers, logger: logger, cancel: cancel}
-	c.Follower = NewFollower(log, kcrid.ConfigStream, Fold{
+	c := &Config{State: o.State, pool: o.Pool, peers: o.Peers, logger: o.Logger, cancel: cancel}
+	c.Follower = NewFollower(o.Log, kcrid.ConfigStream, Fold{
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
-			v := state.Apply(off, e)
+			v := o.State.Apply(off, e)
 			c.logVerdict(off, e, v)
-			changed(e)
+			o.Changed(e)
 		},
-		At:       state.At,
-		Restore:  state.Restore,
-		Snapshot: state.Snapshot,
-		Batch:    batch,
-	}, logger)
+		At:       o.State.At,
+		Restore:  o.State.Restore,
+		Snapshot: o.State.Snapshot,
+		Batch:    o.Batch,
+		Carries:  o.Carries,
+	}, o.Logger, o.Every)
 	c.wait.Go(func() { c.learn(ctx) })
 	return c
 }
--- a/link/kcrdaemon/fleet.go
+++ b/link/kcrdaemon/fleet.go
@@ -15,7 +15,7 @@
 // This file defines the fleet: the last VM list that a process has seen. It
 // lags, and it may be missing for long; nothing that must hold depends on it.
 
-const fleetInterval = time.Second
+const fleetInterval = 2 * time.Second
 
 // Fleet polls the VM list. It is safe for concurrent use.
 type Fleet struct {
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -23,7 +23,8 @@
 // snapshot covers it, nothing is applied; an append is repeated only as the
 // same bytes, which folds recognize.
 
-// Fold is what a follower drives. Batch, Snapshot and Ready may be nil.
+// Fold is what a follower drives. Batch, Snapshot and Ready may be nil. Carries
+// tells whether this process is the one that writes snapshots.
 type Fold struct {
 	Apply    func(off kcrid.Offset, e *kcrentry.Entry)
 	At       func() kcrid.Offset
@@ -31,17 +32,21 @@
 	Snapshot func() (kcrid.Offset, []byte, error)
 	Batch    func(limit int) ([][]byte, uint64)
 	Ready    func()
+	Carries  func() bool
 }
 
 // Timing and sizes of a follower.
 const (
-	readWait      = kcrclock.Second
+	readWait      = 3 * kcrclock.Second
 	errorPause    = 200 * time.Millisecond
-	appendTick    = 10 * time.Millisecond
+	appendTick    = 5 * time.Millisecond   // to gather a batch
+	idleTick      = 250 * time.Millisecond // without a kick
 	confirmWait   = time.Second
 	batchSize     = 256
 	snapshotEvery = 2000 // records
-	snapshotPart  = 512 << 10
+	// carryFactor is how many intervals a snapshot lasts without new records.
+	carryFactor  = 6
+	snapshotPart = 512 << 10
 )
 
 // Follower keeps one fold up to date.
@@ -52,18 +57,25 @@
 	logger *slog.Logger
 	next   kcrid.Offset
 	snapAt kcrid.Offset
-	heard  atomic.Int64 // unix ms of the last read up to the end, or of the start
+	snapOn time.Time
+	every  time.Duration // between snapshots of a stream that changes
+	heard  atomic.Int64  // unix ms of the last read up to the end, or of the start
+	kick   chan struct{}
 	cancel context.CancelFunc
 	wait   conc.WaitGroup
 }
 
-// NewFollower starts to follow a stream.
-func NewFollower(log kcrlog.Log, stream kcrid.Stream, fold Fold, logger *slog.Logger) *Follower {
+// NewFollower starts to follow a stream. Every is the time between snapshots,
+// which must be well below the log's retention.
+func NewFollower(log kcrlog.Log, stream kcrid.Stream, fold Fold, logger *slog.Logger, every time.Duration) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{log: log, stream: stream, fold: fold, logger: logger, next: fold.At() + 1, cancel: cancel}
+	f := &Follower{
+		log: log, stream: stream, fold: fold, logger: logger, next: fold.At() + 1, cancel: cancel, kick: make(chan struct{}, 1),
+		snapAt: fold.At(), snapOn: time.Now(), every: every,
+	}
 	f.heard.Store(time.Now().UnixMilli())
 	f.wait.Go(func() { f.read(ctx) })
-	if fold.Batch != nil {
+	if fold.Batch != nil || fold.Snapshot != nil {
 		f.wait.Go(func() { f.write(ctx) })
 	}
 	return f
@@ -75,6 +87,15 @@
 	f.wait.Wait()
 }
 
+// Kick tells the follower that its fold may have something to append. Without
+// it, that is noticed within idleTick.
+func (f *Follower) Kick() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
 // Lag returns how long ago the follower knew the end of the stream.
 func (f *Follower) Lag() kcrclock.Duration {
 	return kcrclock.Duration(time.Now().UnixMilli() - f.heard.Load())
@@ -137,7 +158,6 @@
 	}
 	if at := f.fold.At(); at+1 >= first {
 		f.next = max(f.next, at+1)
-		f.snapAt = f.next
 		return true
 	}
 	return false
@@ -183,16 +203,32 @@
 }
 
 func (f *Follower) write(ctx context.Context) {
+	idle := time.NewTicker(idleTick)
+	defer idle.Stop()
 	for ctx.Err() == nil {
-		pause(ctx, appendTick)
-		records, last := f.fold.Batch(batchSize)
-		if len(records) > 0 {
-			f.append(ctx, records, last)
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.kick:
+			pause(ctx, appendTick)
+		case <-idle.C:
 		}
+		f.empty(ctx)
 		f.snapshot(ctx)
 	}
 }
 
+// empty appends until the fold has nothing more to say.
+func (f *Follower) empty(ctx context.Context) {
+	for ctx.Err() == nil && f.fold.Batch != nil {
+		records, last := f.fold.Batch(batchSize)
+		if len(records) == 0 {
+			return
+		}
+		f.append(ctx, records, last)
+	}
+}
+
 // append writes a batch and waits until the reader has seen it.
 func (f *Follower) append(ctx context.Context, records [][]byte, last uint64) {
 	if err := f.log.Append(ctx, f.stream, records); err != nil {
@@ -207,8 +243,23 @@
 	}
 }
 
+// due tells whether a snapshot is to be written: after many records, after a
+// time if anything changed, and after a longer time in any case, since
+// snapshots age out as well.
+func (f *Follower) due() bool {
+	at, age := f.fold.At(), time.Since(f.snapOn)
+	switch {
+	case f.fold.Snapshot == nil || at == 0 || !f.fold.Carries():
+		return false
+	case at >= f.snapAt+snapshotEvery, age >= carryFactor*f.every:
+		return true
+	default:
+		return at > f.snapAt && age >= f.every
+	}
+}
+
 func (f *Follower) snapshot(ctx context.Context) {
-	if f.fold.Snapshot == nil || f.fold.At() < f.snapAt+snapshotEvery {
+	if !f.due() {
 		return
 	}
 	at, state, err := f.fold.Snapshot()
@@ -216,7 +267,7 @@
 		f.logger.Error("snapshot failed", "stream", f.stream, "err", err)
 		return
 	}
-	f.snapAt = at
+	f.snapAt, f.snapOn = at, time.Now()
 	if err := WriteSnapshot(ctx, f.log, f.stream, at, state); err != nil {
 		f.logger.Warn("snapshot not written", "stream", f.stream, "err", err)
 	}
--- a/link/kcrsettings/settings.go
+++ b/link/kcrsettings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 
+	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrjson"
@@ -52,13 +53,15 @@
 	Upstream string
 }
 
-// Settings are the settings of a deployment.
+// Settings are the settings of a deployment. Snap must be well below the time
+// for which the log keeps records.
 type Settings struct {
 	Region    kcrid.Region
 	Zones     []kcrid.Zone
 	Log       string
 	VMs       string
 	Buckets   uint32
+	Snap      kcrclock.Duration // between snapshots of a stream
 	Route     string
 	Escrow    string
 	Services  []Service
@@ -71,6 +74,7 @@
 	maxBuckets = 4096
 	maxReserve = 1 << 20
 	maxSlots   = 1 << 16
+	maxSnap    = 7 * 24 * 3600 // seconds
 )
 
 // Load reads and checks a settings file.
@@ -89,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Settings{Route: "cost", Escrow: "demand"}
+	s = &Settings{Route: "cost", Escrow: "demand", Snap: kcrclock.Hour}
 	r := reader{s: s, vms: map[kcrid.VM]bool{}, addrs: map[string]bool{}}
 	err = root.Object(kcrjson.Fields{
 		"region":    func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Region) },
@@ -97,6 +101,7 @@
 		"log":       func(n kcrjson.Node) error { return address(n, &s.Log) },
 		"vms":       func(n kcrjson.Node) error { return address(n, &s.VMs) },
 		"buckets":   func(n kcrjson.Node) error { return kcrjson.Int(n, &s.Buckets, 1, maxBuckets) },
+		"snap":      func(n kcrjson.Node) error { return seconds(n, &s.Snap) },
 		"route":     func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Route) },
 		"escrow":    func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Escrow) },
 		"services":  func(n kcrjson.Node) error { return n.Array(r.service) },
@@ -129,6 +134,16 @@
 	return nil
 }
 
+// seconds reads a length of time.
+func seconds(n kcrjson.Node, to *kcrclock.Duration) error {
+	var v int64
+	if err := kcrjson.Int(n, &v, 1, maxSnap); err != nil {
+		return err
+	}
+	*to = kcrclock.Duration(v) * kcrclock.Second
+	return nil
+}
+
 func (r *reader) own(n kcrjson.Node, to *string) error {
 	if err := address(n, to); err != nil {
 		return err
--- a/router/kcrrouter/router.go
+++ b/router/kcrrouter/router.go
@@ -87,7 +87,11 @@
 	}
 	r.table = kcrroute.New(kcrroute.Home{Zone: c.Self.Zone, Region: c.Settings.Region}, c.Policy, rand.IntN)
 	r.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, r.listed)
-	r.lists = kcrdaemon.NewConfig(r.state, c.Platform.Log(), r.pool, r.peers, c.Logger, nil, func(*kcrentry.Entry) { r.listed(r.fleet.VMs()) })
+	r.lists = kcrdaemon.NewConfig(kcrdaemon.ConfigOptions{
+		State: r.state, Log: c.Platform.Log(), Pool: r.pool, Peers: r.peers, Logger: c.Logger,
+		Changed: func(*kcrentry.Entry) { r.listed(r.fleet.VMs()) },
+		Carries: func() bool { return false }, Every: c.Settings.Snap.Std(),
+	})
 	r.app = r.routes()
 	if err := kcrdaemon.Serve(r.app, c.Self.Listen); err != nil {
 		return nil, err
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -94,7 +94,7 @@
 tail -n 2 "$logs/use"
 echo "$ok requests were served"
 grep -q budget_ "$logs/use"
-sleep 1.5
+sleep 9
 ./build/kingcuprun show --settings "$settings" utrecht-small
 
 step "mark a VM as leaving: it gets no new work"
--- a/sidecar/kcrsidecar/generate.go
+++ b/sidecar/kcrsidecar/generate.go
@@ -176,7 +176,7 @@
 // finds the run.
 func (s *Sidecar) note(r *kcrwire.Start, w *work) (done func(kcrbudget.State), err error) {
 	plan := kcrid.Plan(r.GetPlan())
-	if !s.first(kcrid.BucketOf(plan, s.config.Settings.Buckets)) {
+	if bucket := kcrid.BucketOf(plan, s.config.Settings.Buckets); s.alone(bucket) || !s.first(bucket) {
 		return func(kcrbudget.State) {}, nil
 	}
 	ans, done := s.homes.note(kcrbudget.Ask{Call: w.call, Plan: plan, Server: s.self, Addr: s.config.Self.Listen})
@@ -256,6 +256,7 @@
 	state, outcome, refusal := s.judge(err, p, complete)
 	if state == kcrbudget.Broken && outcome == "crashed" {
 		s.crashes.crashed(w.content, apart)
+		s.lists.Follower.Kick()
 	}
 	if state == kcrbudget.Whole && apart {
 		s.crashes.cleared(w.content)
--- a/sidecar/kcrsidecar/homes.go
+++ b/sidecar/kcrsidecar/homes.go
@@ -33,7 +33,7 @@
 	homesTried   = 3
 	lookInterval = 2 * kcrclock.Second
 	// staleLog is the age at which a home does not wait for the log.
-	staleLog = 4 * kcrclock.Second
+	staleLog = 6 * kcrclock.Second
 	// probeInterval is the time between questions to a home that is silent.
 	probeInterval = time.Second
 	meetMost      = 16
@@ -124,7 +124,8 @@
 		Snapshot: home.Snapshot,
 		Batch:    home.Batch,
 		Ready:    home.Ready,
-	}, h.s.config.Logger)
+		Carries:  func() bool { return true },
+	}, h.s.config.Logger, h.s.config.Settings.Snap.Std())
 	return bh
 }
 
@@ -153,6 +154,7 @@
 		a.Last = now.Sub(start) >= reserveWait || ctx.Err() != nil || bh.follower.Lag() > staleLog
 		h.credit(bh.home, a.Plan)
 		ans := bh.home.Reserve(now, a)
+		bh.follower.Kick()
 		if ans.Code != kcrbudget.Pending {
 			h.hear(bh, a.Server, now)
 			h.s.metrics.reserves.WithLabelValues(ans.Code.String()).Inc()
@@ -221,6 +223,7 @@
 	if !due {
 		return
 	}
+	h.takeOffice()
 	for _, bh := range h.all() {
 		if bh.home.Deposed() {
 			h.get(bh.bucket)
@@ -232,6 +235,20 @@
 	}
 }
 
+// takeOffice starts the homes of the buckets for which this sidecar is first in
+// rank, whether or not anybody asks: somebody has to carry their state forward
+// and to recover their dead holders.
+func (h *homes) takeOffice() {
+	if h.s.stopping.Load() || len(h.s.fleet.VMs()) == 0 {
+		return
+	}
+	for b := range kcrid.Bucket(h.s.config.Settings.Buckets) {
+		if h.s.first(b) {
+			h.get(b)
+		}
+	}
+}
+
 // dropSilent closes the sidecars that have not been heard for long while they
 // hold reservations.
 func (h *homes) dropSilent(bh *bucketHome, now kcrclock.Time) {
@@ -384,6 +401,7 @@
 		}
 	}
 	for _, bh := range h.all() {
+		bh.follower.Kick()
 		for bh.home.Waiting() > 0 && ctx.Err() == nil {
 			time.Sleep(reservePoll)
 		}
@@ -506,9 +524,12 @@
 	order := s.ranked(b)
 	item := fmt.Sprint(b)
 	own := kcrid.Ranked(item, string(s.config.Self.VM))
-	return order[0].Name != s.config.Self.VM && own > kcrid.Ranked(item, string(order[0].Name))
+	return order[0].Name == s.config.Self.VM || own > kcrid.Ranked(item, string(order[0].Name))
 }
 
+// alone tells whether there is no other sidecar to be a home.
+func (s *Sidecar) alone(b kcrid.Bucket) bool { return s.ranked(b)[0].Name == s.config.Self.VM }
+
 // mayHold tells whether a VM may be a home for runs here.
 func (s *Sidecar) mayHold(vm kcrplatform.VM) bool {
 	return vm.Region == s.config.Settings.Region && vm.Name != s.config.Self.VM
--- a/sidecar/kcrsidecar/once.go
+++ b/sidecar/kcrsidecar/once.go
@@ -55,6 +55,7 @@
 // await waits while a call is at a stage.
 func (s *Sidecar) await(ctx context.Context, c kcrid.Call, limit kcrclock.Duration, stage func(kcrintent.Progress) bool) (p kcrintent.Progress, e kcrintent.Call) {
 	start := s.clock.Now()
+	s.intents.Kick()
 	for {
 		p, e = s.desk.Ask(c)
 		if !stage(p) || ctx.Err() != nil || s.clock.Now().Sub(start) > limit {
@@ -131,6 +132,7 @@
 	} else {
 		s.desk.Finish(call, status, kind, body, false)
 	}
+	s.intents.Kick()
 	if err != nil {
 		return &kcrerror.Refusal{Code: kcrerror.Unconfirmed, Text: "the upstream got the request and its answer is lost", Ran: true}
 	}
--- a/sidecar/kcrsidecar/serve.go
+++ b/sidecar/kcrsidecar/serve.go
@@ -59,9 +59,11 @@
 		Plan: kcrid.Plan(r.GetPlan()), Server: kcrid.Incarnation(r.GetServer()), Addr: r.GetAddr(),
 		Worst: kcrid.Tokens(r.GetWorst()), Rerun: r.GetRerun(),
 	})
-	return &kcrwire.Reply{Kind: &kcrwire.Reply_Reserved{Reserved: &kcrwire.Reserved{
-		Code: ans.Code.String(), Holder: string(holder), Id: ans.ID, Server: string(ans.Server), Addr: ans.Addr,
-	}}}, nil
+	out := &kcrwire.Reserved{Code: ans.Code.String(), Holder: string(holder), Id: ans.ID}
+	if ans.Code == kcrbudget.Running {
+		out.Server, out.Addr = string(ans.Server), ans.Addr
+	}
+	return &kcrwire.Reply{Kind: &kcrwire.Reply_Reserved{Reserved: out}}, nil
 }
 
 func (s *Sidecar) answerSettle(r *kcrwire.Settle) (*kcrwire.Reply, error) {
--- a/sidecar/kcrsidecar/settle.go
+++ b/sidecar/kcrsidecar/settle.go
@@ -25,7 +25,8 @@
 	settleRetry  = 2 * kcrclock.Second
 	settleGiveUp = 30 * kcrclock.Second
 	signOfLife   = 2 * kcrclock.Second
-	billTick     = 500 * time.Millisecond
+	drainTime    = 3 * kcrclock.Second
+	billTick     = 8 * time.Second
 )
 
 // owed is a line that is not known to be on the log.
@@ -231,24 +232,37 @@
 	return kcrid.BucketOf(p, st.s.config.Settings.Buckets)
 }
 
-// left returns the number of lines that are not known to be on the log.
-func (st *settler) left() (n int) {
+// untaken returns the number of lines that no home has taken.
+func (st *settler) untaken() (n int) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for _, a := range st.accounts {
-		n += len(a.owed)
+		for _, o := range a.owed {
+			if !o.taken {
+				n++
+			}
+		}
 	}
 	return n
 }
 
-// drain waits until every line is on the log, or the context ends.
+// drain brings every line to its home, as far as homes answer, and to the log,
+// until the context ends. The homes will write the same lines, which count once.
 func (st *settler) drain(ctx context.Context) {
-	for ctx.Err() == nil {
-		if st.left() == 0 {
-			return
+	for start := st.s.clock.Now(); st.untaken() > 0 && ctx.Err() == nil; {
+		if st.s.clock.Now().Sub(start) > drainTime {
+			break
 		}
 		time.Sleep(settleTick)
 	}
+	st.mu.Lock()
+	for _, a := range st.accounts {
+		for _, o := range a.owed {
+			st.bills.put(st.bucket(o.line.Plan), st.s.self, o.line)
+		}
+	}
+	st.mu.Unlock()
+	st.bills.drain(ctx)
 }
 
 func (st *settler) close() {
@@ -265,6 +279,8 @@
 	cancel context.CancelFunc
 	wait   conc.WaitGroup
 
+	writing sync.Mutex // held while a batch is on its way
+
 	mu    sync.Mutex
 	boxes map[kcrid.Bucket]*billStream
 }
@@ -288,13 +304,21 @@
 func newBillbox(writer kcrid.Incarnation, log kcrlog.Log, logger *slog.Logger) *billbox {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &billbox{log: log, logger: logger, writer: writer, cancel: cancel, boxes: map[kcrid.Bucket]*billStream{}}
-	b.wait.Go(func() {
-		for ctx.Err() == nil {
-			time.Sleep(billTick)
+	b.wait.Go(func() { b.loop(ctx) })
+	return b
+}
+
+func (b *billbox) loop(ctx context.Context) {
+	t := time.NewTicker(billTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
 			b.flush(ctx)
 		}
-	})
-	return b
+	}
 }
 
 // put queues a line once and tells whether it is on the log. A line of a call
@@ -324,6 +348,8 @@
 }
 
 func (b *billbox) flush(ctx context.Context) {
+	b.writing.Lock()
+	defer b.writing.Unlock()
 	b.mu.Lock()
 	buckets := make([]kcrid.Bucket, 0, len(b.boxes))
 	for n := range b.boxes {
@@ -363,9 +389,10 @@
 	}
 }
 
-// drain waits until every line is on the log, or the context ends.
+// drain writes every line to the log, until the context ends.
 func (b *billbox) drain(ctx context.Context) {
 	for ctx.Err() == nil {
+		b.flush(ctx)
 		b.mu.Lock()
 		left := 0
 		for _, st := range b.boxes {
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -71,7 +71,7 @@
 }
 
 const (
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
 	// handoverTime bounds how long a planned stop waits for the log once all
 	// requests are finished. What is not handed over is recovered by others.
 	handoverTime = 30 * time.Second
@@ -98,7 +98,11 @@
 	s.ranking.reset()
 	s.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, func([]kcrplatform.VM) { s.ranking.reset() })
 	log := c.Platform.Log()
-	s.lists = kcrdaemon.NewConfig(s.state, log, s.pool, s.peers, c.Logger, s.crashes.batch, s.listsChanged)
+	s.lists = kcrdaemon.NewConfig(kcrdaemon.ConfigOptions{
+		State: s.state, Log: log, Pool: s.pool, Peers: s.peers, Logger: c.Logger,
+		Batch: s.crashes.batch, Changed: s.crashes.confirm,
+		Carries: func() bool { return s.carries(kcrid.ConfigStream, "") }, Every: c.Settings.Snap.Std(),
+	})
 	s.homes = newHomes(s, log)
 	s.settler = newSettler(s, log)
 	if service.Kind == kcrsettings.Plain {
@@ -135,10 +139,22 @@
 		Snapshot: d.Snapshot,
 		Batch:    d.Batch,
 		Ready:    d.Ready,
-	}, s.config.Logger)
+		Carries:  func() bool { return s.carries(kcrid.IntentStream(s.service.Name), s.service.Name) },
+	}, s.config.Logger, s.config.Settings.Snap.Std())
 }
 
-func (s *Sidecar) listsChanged(e *kcrentry.Entry) { s.crashes.confirm(e) }
+// carries tells whether this sidecar writes the snapshots of a stream that all
+// sidecars follow, or all of one service. Two that both think so do no harm.
+func (s *Sidecar) carries(stream kcrid.Stream, service kcrid.Service) bool {
+	own := kcrid.Ranked(string(stream), string(s.config.Self.VM))
+	for _, vm := range s.fleet.VMs() {
+		same := service == "" || vm.Service == service
+		if same && vm.State != kcrplatform.StateLeaving && kcrid.Ranked(string(stream), string(vm.Name)) > own {
+			return false
+		}
+	}
+	return true
+}
 
 func (s *Sidecar) tick(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
