--- a/sidecar/kcrsidecar/homes.go
+++ b/sidecar/kcrsidecar/homes.go
@@ -414,9 +414,9 @@
 	h.closed = true
 	h.mu.Unlock()
 	for _, bh := range h.all() {
-		bh.follower.Close()
+		h.wait.Go(bh.follower.Close)
 	}
-	h.bills.close()
+	h.wait.Go(h.bills.close)
 	h.wait.Wait()
 }
 
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -216,17 +216,20 @@
 	s.close()
 }
 
+// close ends all parts at once: each may have to wait for a read of the log.
 func (s *Sidecar) close() {
 	s.cancel()
 	s.admin.Close()
-	s.server.Close()
-	s.settler.close()
-	s.homes.close()
+	var parts conc.WaitGroup
+	parts.Go(s.server.Close)
+	parts.Go(s.settler.close)
+	parts.Go(s.homes.close)
+	parts.Go(s.lists.Close)
+	parts.Go(s.fleet.Close)
 	if s.intents != nil {
-		s.intents.Close()
+		parts.Go(s.intents.Close)
 	}
-	s.lists.Close()
-	s.fleet.Close()
+	parts.Wait()
 	s.pool.Close()
 	s.wait.Wait()
 }
