The end of an answer waits for its home to know the cost

Cause, by reading: a sidecar that died right after the end of an answer took its statement line along, before the home had it. Now the end waits for the home, 0.5 s at most. The test now also compares the statement with every whole answer.

--- a/bench/kcrrig/stop_test.go
+++ b/bench/kcrrig/stop_test.go
@@ -202,19 +202,23 @@
 	}
 }
 
-// What the engines served never exceeds the budget, while sidecars die and the
-// log loses answers.
+// What the engines served never exceeds the budget, and each whole answer is
+// billed once, while sidecars die and the log loses answers.
 func TestBudgetUnderFaults(t *testing.T) {
 	t.Parallel()
 	const tokens = 6000
 	r := start(t, Size{Routers: 2, Engines: 3, Plains: 0, Tokens: tokens})
 	var over atomic.Bool
+	var whole sync.Map // by request id
 	callers := pool.New()
 	for id := range 8 {
 		callers.Go(func() {
 			c := kcrcaller.New(APIKey)
 			for n := 0; !over.Load(); n++ {
-				c.Chat(context.Background(), r.Settings.Routers[n%2].Listen, Model, fmt.Sprintf("b %d %d", id, n), "", n%2 == 0)
+				a := c.Chat(context.Background(), r.Settings.Routers[n%2].Listen, Model, fmt.Sprintf("b %d %d", id, n), "", n%2 == 0)
+				if a.Whole(n%2 == 0) {
+					whole.Store(a.Request, true)
+				}
 			}
 		})
 	}
@@ -240,4 +244,33 @@
 	if served > tokens || served == 0 {
 		t.Errorf("expected at most %d tokens served, got %d", tokens, served)
 	}
+	checkBills(t, r, &whole)
+}
+
+// checkBills waits until every whole answer is on the statement, and compares.
+func checkBills(t *testing.T, r *Rig, whole *sync.Map) {
+	t.Helper()
+	missing := -1
+	for deadline := time.Now().Add(60 * time.Second); missing != 0 && time.Now().Before(deadline); time.Sleep(time.Second) {
+		st, err := r.Operator.Statement(context.Background(), Plan)
+		if err != nil {
+			continue
+		}
+		billed := map[string]bool{}
+		for _, it := range st.Items() {
+			if string(it.State) == "whole" {
+				billed[string(it.Call.Key)] = true
+			}
+		}
+		missing = 0
+		whole.Range(func(id, _ any) bool {
+			if !billed[id.(string)] {
+				missing++
+			}
+			return true
+		})
+	}
+	if missing != 0 {
+		t.Errorf("expected every whole answer on the statement, %d are missing", missing)
+	}
 }
--- a/sidecar/kcrsidecar/generate.go
+++ b/sidecar/kcrsidecar/generate.go
@@ -23,6 +23,9 @@
 	silentText  = "the upstream does not answer"
 )
 
+// keptTime bounds how long the end of an answer waits for its home.
+const keptTime = 500 * time.Millisecond
+
 // settleTries is how often a run waits for the settlement of the one before.
 const settleTries = 5
 
@@ -261,11 +264,27 @@
 	if state == kcrbudget.Whole && apart {
 		s.crashes.cleared(w.content)
 	}
-	s.settler.put(g, kcrbudget.Line{Call: w.call, Plan: kcrid.Plan(r.GetPlan()), Tokens: served, State: state})
+	kept := s.settler.put(g, kcrbudget.Line{Call: w.call, Plan: kcrid.Plan(r.GetPlan()), Tokens: served, State: state})
+	if state == kcrbudget.Whole {
+		s.awaitKept(r, kept)
+	}
 	s.finish(r, w, outcome, served, refusal)
 	return state == kcrbudget.Whole
 }
 
+// awaitKept waits until the home knows what an answer cost, before the caller
+// gets its end: then it is billed although this sidecar dies. Where the home
+// does not answer, the line has one keeper only.
+func (s *Sidecar) awaitKept(r *kcrwire.Start, kept <-chan struct{}) {
+	t := time.NewTimer(keptTime)
+	defer t.Stop()
+	select {
+	case <-kept:
+	case <-t.C:
+		s.journal.Add(r.GetId(), "line not kept by the home", "plan", r.GetPlan())
+	}
+}
+
 // judge says how a run ended.
 func (s *Sidecar) judge(err error, p *pass, complete bool) (state kcrbudget.State, outcome string, refusal error) {
 	switch {
--- a/sidecar/kcrsidecar/settle.go
+++ b/sidecar/kcrsidecar/settle.go
@@ -35,6 +35,7 @@
 	at    kcrclock.Time
 	next  kcrclock.Time
 	taken bool
+	kept  chan struct{} // closed when the home has taken it
 }
 
 // account is what this sidecar has with one holder.
@@ -107,19 +108,22 @@
 	delete(st.account(g).held, g.id)
 }
 
-// put queues the settlement of a run.
-func (st *settler) put(g grant, l kcrbudget.Line) {
+// put queues the settlement of a run. The channel is closed when the home has
+// it too, so that the line outlives this sidecar.
+func (st *settler) put(g grant, l kcrbudget.Line) (kept <-chan struct{}) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	l.ID = g.id
 	a := st.account(g)
 	delete(a.held, g.id)
 	now := st.s.clock.Now()
-	a.owed[g.id] = &owed{line: l, at: now, next: now}
+	o := &owed{line: l, at: now, next: now, kept: make(chan struct{})}
+	a.owed[g.id] = o
 	select {
 	case st.wake <- struct{}{}:
 	default:
 	}
+	return o.kept
 }
 
 // owes tells whether a reservation was used and is not settled yet.
@@ -203,14 +207,15 @@
 	defer st.mu.Unlock()
 	a := st.accounts[holder]
 	a.floor = max(a.floor, r.GetLast())
-	for _, id := range r.GetDurable() {
-		delete(a.owed, id)
-	}
 	for _, id := range r.GetTaken() {
-		if o := a.owed[id]; o != nil {
+		if o := a.owed[id]; o != nil && !o.taken {
 			o.taken = true
+			close(o.kept)
 		}
 	}
+	for _, id := range r.GetDurable() {
+		delete(a.owed, id)
+	}
 }
 
 // giveUp writes lines that are owed for long to the statement from here.
