--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -195,14 +195,19 @@
 	}
 	u := r.Settings.Upstreams[i]
 	r.serial++
-	r.pools[u.VM] = kcrlink.NewPool()
-	return kcrsidecar.New(kcrsidecar.Config{
-		Settings: r.Settings, Self: u, Server: kcrid.Incarnation(fmt.Sprintf("%s/%d", u.VM, r.serial)), Escrow: escrow,
-		Clock: kcrclock.Monotonic(), Logger: r.size.Logger.With("prog", "sidecar", "vm", u.VM),
+	server := kcrid.Incarnation(fmt.Sprintf("%s/%d", u.VM, r.serial))
+	return kcrsidecar.New(kcrsidecar.Config{Parts: r.parts(u.VM), Self: u, Server: server, Escrow: escrow})
+}
+
+// parts returns what a process is made of.
+func (r *Rig) parts(vm kcrid.VM) kcrdaemon.Parts {
+	r.pools[vm] = kcrlink.NewPool()
+	return kcrdaemon.Parts{
+		Settings: r.Settings, VM: vm, Clock: kcrclock.Monotonic(), Logger: r.size.Logger.With("vm", vm),
 		Platform: kcrplatform.New(r.Settings.Log, kcrplatform.HTTPClient()),
 		VMs:      kcrplatform.New(r.Settings.VMs, kcrplatform.HTTPClient()),
-		Metrics:  prometheus.NewRegistry(), Pool: r.pools[u.VM],
-	})
+		Metrics:  prometheus.NewRegistry(), Pool: r.pools[vm],
+	}
 }
 
 // StartRouter starts a router, again if need be.
@@ -212,14 +217,7 @@
 		return nil, err
 	}
 	e := r.Settings.Routers[i]
-	r.pools[e.VM] = kcrlink.NewPool()
-	return kcrrouter.New(kcrrouter.Config{
-		Settings: r.Settings, Self: e, Policy: policy, Clock: kcrclock.Monotonic(),
-		Logger:   r.size.Logger.With("prog", "router", "vm", e.VM),
-		Platform: kcrplatform.New(r.Settings.Log, kcrplatform.HTTPClient()),
-		VMs:      kcrplatform.New(r.Settings.VMs, kcrplatform.HTTPClient()),
-		Metrics:  prometheus.NewRegistry(), Pool: r.pools[e.VM],
-	})
+	return kcrrouter.New(kcrrouter.Config{Parts: r.parts(e.VM), Self: e, Policy: policy})
 }
 
 // Pool returns the links of a process, to cut them.
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -1,8 +1,6 @@
 package kcrbudget
 
 import (
-	"math"
-	"slices"
 	"sync"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -153,27 +151,6 @@
 	recovery map[kcrid.Incarnation]*recovery
 }
 
-// purse is what the home knows of its grant for one plan.
-type purse struct {
-	spent     kcrid.Tokens
-	reserved  kcrid.Tokens
-	backing   kcrid.Tokens // given back, not confirmed
-	marked    kcrid.Tokens
-	claiming  uint64 // sequence of the claim in flight
-	deniedAt  kcrclock.Time
-	denied    bool
-	rate      float64 // tokens a second spent here
-	others    float64 // tokens a second spent under other holders
-	rateFrom  kcrclock.Time
-	rateAt    kcrclock.Time
-	sinceRate kcrid.Tokens
-	elsewhere kcrid.Tokens // spent under other holders at rateAt
-	usedAt    kcrclock.Time
-	worst     kcrid.Tokens
-	backs     map[uint64]kcrid.Tokens
-	credits   map[string]bool // put, not confirmed
-}
-
 // call is a call that runs or has run.
 type call struct {
 	id     uint64
@@ -185,18 +162,6 @@
 	doneAt kcrclock.Time
 }
 
-// server is a sidecar that reservations may go to.
-type server struct {
-	asked   bool
-	closing bool                        // a Close is on its way to the ledger
-	used    map[kcrid.Plan]kcrid.Tokens // settled and reserved
-	open    map[uint64]kcrid.Call       // reservations that are not settled
-}
-
-func newServer() *server {
-	return &server{used: map[kcrid.Plan]kcrid.Tokens{}, open: map[uint64]kcrid.Call{}}
-}
-
 // NewHome returns a home that knows nothing of its bucket. It answers Pending
 // until Ready is called after the stream was applied up to its end.
 func NewHome(c Config) *Home {
@@ -224,48 +189,11 @@
 	h.ready = true
 }
 
-func (h *Home) purse(p kcrid.Plan) *purse {
-	pu, ok := h.purses[p]
-	if !ok {
-		pu = &purse{backs: map[uint64]kcrid.Tokens{}, credits: map[string]bool{}}
-		h.purses[p] = pu
-	}
-	return pu
-}
-
-func (h *Home) free(p kcrid.Plan) kcrid.Tokens {
-	pu := h.purse(p)
-	return h.ledger.Grant(h.self, p).Amount - pu.backing - pu.spent - pu.reserved
-}
-
-func (h *Home) view(p kcrid.Plan, worst kcrid.Tokens) View {
-	a := h.ledger.Account(p)
-	pu := h.purse(p)
-	return View{
-		Worst: worst, Rate: pu.rate, Share: pu.share(), Free: h.free(p),
-		Available: a.Available(), Others: h.ledger.Unspent(p, h.self), Prepaid: a.Prepaid,
-	}
-}
-
 func (h *Home) deposed() bool {
 	own := h.ledger.Holder(h.self)
 	return own != nil && !h.rules.InOffice(own.Fenced)
 }
 
-// Credit asks for a top-up of the lists to be on the ledger.
-func (h *Home) Credit(p kcrid.Plan, name string, tokens kcrid.Tokens) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	pu := h.purse(p)
-	if _, ok := h.ledger.Account(p).Credits[name]; ok || pu.credits[name] || !h.ready {
-		return
-	}
-	pu.credits[name] = true
-	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Credit{Credit: &kcrentry.Credit{
-		Plan: string(p), Name: name, Tokens: int64(tokens),
-	}}})
-}
-
 // Reserve answers a request for a reservation. Asking again for a call that
 // already has one at the same sidecar gives the same reservation.
 func (h *Home) Reserve(now kcrclock.Time, a Ask) Answer {
@@ -345,47 +273,6 @@
 	}
 }
 
-// Open asks the ledger to show sidecars as open, so that they can get
-// reservations while the log is down. Known ones are left out.
-func (h *Home) Open(servers []kcrid.Incarnation) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.ready || h.deposed() || h.retired {
-		return
-	}
-	msg := &kcrentry.Open{}
-	for _, s := range servers {
-		if h.servers[s] == nil {
-			h.servers[s] = newServer()
-			h.servers[s].asked = true
-			msg.Servers = append(msg.Servers, string(s))
-		}
-	}
-	if len(msg.Servers) > 0 {
-		h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: msg}})
-	}
-}
-
-// opened tells whether the ledger shows the sidecar as open, and asks for it
-// once if not. While a Close is on its way, the ledger shows as open what a
-// recovery may soon not ask any more.
-func (h *Home) opened(s kcrid.Incarnation) bool {
-	sv, ok := h.servers[s]
-	if !ok {
-		sv = newServer()
-		h.servers[s] = sv
-	}
-	if h.rules.Closing(sv.closing) {
-		return false
-	}
-	if !sv.asked {
-		sv.asked = true
-		h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Open{Open: &kcrentry.Open{Servers: []string{string(s)}}}})
-	}
-	own := h.ledger.Holder(h.self)
-	return own != nil && own.Open[s]
-}
-
 func (h *Home) grant(a Ask) Answer {
 	h.nextID++
 	h.calls[a.Call] = &call{id: h.nextID, plan: a.Plan, server: a.Server, addr: a.Addr, worst: a.Worst}
@@ -418,130 +305,6 @@
 	return left < a.Worst
 }
 
-// claim asks the ledger for escrow, unless a claim is in flight or was
-// refused a moment ago.
-func (h *Home) claim(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) {
-	pu := h.purse(p)
-	v := h.view(p, worst)
-	if pu.claiming != 0 || v.Prepaid == 0 {
-		return
-	}
-	if pu.denied && v.Available == 0 && now.Sub(pu.deniedAt) < deniedTime {
-		return
-	}
-	want := max(h.policy.Target(v), worst) - v.Free
-	if want <= 0 {
-		return
-	}
-	pu.deniedAt = now
-	pu.claiming = h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{
-		Plan: string(p), Tokens: int64(want),
-	}}})
-}
-
-// Report is what a sidecar tells a home from time to time. Held are the
-// reservations that it still uses; it has barred all others up to Floor.
-type Report struct {
-	Lines []Line
-	Held  []uint64
-	Floor uint64
-}
-
-// Receipt answers a report. Last is the newest reservation of the home.
-type Receipt struct {
-	Taken []uint64
-	Last  uint64
-}
-
-// Settle takes the report of a sidecar. A line that was settled before is
-// taken again without effect. Reservations whose grant never reached the
-// sidecar are taken back.
-func (h *Home) Settle(now kcrclock.Time, from kcrid.Incarnation, r Report) (out Receipt) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, l := range r.Lines {
-		h.settle(now, from, l)
-		out.Taken = append(out.Taken, l.ID)
-	}
-	h.takeBack(now, from, r)
-	out.Last = h.nextID
-	return out
-}
-
-// takeBack voids the reservations that a sidecar does not hold and cannot
-// begin any more.
-func (h *Home) takeBack(now kcrclock.Time, from kcrid.Incarnation, r Report) {
-	sv := h.servers[from]
-	if sv == nil {
-		return
-	}
-	for id, key := range sv.open {
-		if id <= r.Floor && !slices.Contains(r.Held, id) {
-			h.settle(now, from, Line{ID: id, Call: key, State: Void})
-		}
-	}
-}
-
-func (h *Home) settle(now kcrclock.Time, from kcrid.Incarnation, l Line) {
-	c := h.calls[l.Call]
-	if c == nil || c.done || c.server != from || l.ID != c.id || c.id == 0 {
-		return
-	}
-	used := max(0, min(l.Tokens, c.worst))
-	pu := h.purse(c.plan)
-	pu.reserved -= c.worst
-	pu.spent += used
-	pu.sinceRate += used
-	if sv := h.servers[from]; sv != nil {
-		sv.used[c.plan] -= c.worst - used
-		delete(sv.open, c.id)
-	}
-	if l.State == Void {
-		delete(h.calls, l.Call)
-		return
-	}
-	if l.State == Broken {
-		delete(h.calls, l.Call)
-		return
-	}
-	c.done, c.doneAt = true, now
-	h.ended = append(h.ended, l.Call)
-}
-
-// Lose closes a sidecar that is gone: what it had reserved counts as spent,
-// and a recovery of this home will not need its evidence.
-func (h *Home) Lose(now kcrclock.Time, s kcrid.Incarnation) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	sv, ok := h.servers[s]
-	if !ok || sv.closing || h.deposed() {
-		return
-	}
-	for key, c := range h.calls {
-		if c.server == s {
-			h.loseCall(key, c)
-		}
-	}
-	msg := &kcrentry.Close{Server: string(s)}
-	for p, t := range sv.used {
-		if t > 0 {
-			msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(t)})
-		}
-	}
-	h.servers[s] = newServer()
-	h.servers[s].closing = true
-	h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Close{Close: msg}})
-}
-
-func (h *Home) loseCall(key kcrid.Call, c *call) {
-	if !c.done {
-		pu := h.purse(c.plan)
-		pu.reserved -= c.worst
-		pu.spent += c.worst
-	}
-	delete(h.calls, key)
-}
-
 // Apply folds one record of the bucket's stream.
 func (h *Home) Apply(now kcrclock.Time, off kcrid.Offset, e *kcrentry.Entry) Effect {
 	h.mu.Lock()
@@ -558,48 +321,6 @@
 	return eff
 }
 
-// confirm takes in the effect of an own record.
-func (h *Home) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
-	if c := e.GetClose(); c != nil {
-		delete(h.servers, kcrid.Incarnation(c.GetServer()))
-	}
-	switch eff.Kind {
-	case Claimed:
-		pu := h.purse(eff.Plan)
-		pu.claiming = 0
-		pu.denied = eff.Tokens == 0
-		pu.deniedAt = now
-	case Marked:
-		pu := h.purse(eff.Plan)
-		pu.backing -= pu.backs[e.GetSeq()]
-		delete(pu.backs, e.GetSeq())
-	case Ignored:
-		if c := e.GetClaim(); c != nil {
-			h.purse(kcrid.Plan(c.GetPlan())).claiming = 0
-		}
-	}
-}
-
-// spare gives idle escrow to a holder that claimed in vain.
-func (h *Home) spare(eff Effect) {
-	back := h.policy.Spare(h.view(eff.Plan, 0), eff.Unmet)
-	if back > 0 {
-		h.giveBack(eff.Plan, back)
-	}
-}
-
-func (h *Home) giveBack(p kcrid.Plan, back kcrid.Tokens) {
-	pu := h.purse(p)
-	pu.backing += back
-	pu.marked = pu.spent
-	seq := h.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
-		Plan: string(p), Back: int64(back), Spent: int64(pu.spent),
-	}}})
-	if back > 0 {
-		pu.backs[seq] = back
-	}
-}
-
 // Tick does what is due: refills, reports, returns, and forgets old calls.
 func (h *Home) Tick(now kcrclock.Time) {
 	h.mu.Lock()
@@ -632,51 +353,6 @@
 	}
 }
 
-// tickPurse does what is due for one plan. Spending is reported for all plans
-// at once, so that it takes one append.
-func (h *Home) tickPurse(now kcrclock.Time, p kcrid.Plan, pu *purse, mark bool) {
-	pu.smooth(now, h.ledger.SpentElsewhere(p, h.self))
-	amount := h.ledger.Grant(h.self, p).Amount
-	if amount == 0 {
-		return
-	}
-	free := h.free(p)
-	idle := now.Sub(pu.usedAt) > idleTime
-	target := h.policy.Target(h.view(p, pu.worst))
-	switch {
-	case idle && free > 0 && h.policy.Spare(h.view(p, 0), math.MaxInt64) > 0:
-		h.giveBack(p, free)
-	case !idle && float64(free) < refillBelow*float64(target):
-		h.claim(now, p, pu.worst)
-	case mark && pu.spent != pu.marked:
-		h.giveBack(p, 0)
-	}
-}
-
-// smooth updates the demand rates. A young rate is a plain average.
-func (pu *purse) smooth(now kcrclock.Time, elsewhere kcrid.Tokens) {
-	dt := now.Sub(pu.rateAt).Seconds()
-	if dt < 1 {
-		return
-	}
-	if pu.rateAt == 0 {
-		pu.rateFrom, pu.rateAt, pu.sinceRate, pu.elsewhere = now, now, 0, elsewhere
-		return
-	}
-	w := max(1-math.Exp(-dt/rateWindow.Seconds()), dt/now.Sub(pu.rateFrom).Seconds())
-	pu.rate += w * (float64(pu.sinceRate)/dt - pu.rate)
-	pu.others += w * (float64(max(0, elsewhere-pu.elsewhere))/dt - pu.others)
-	pu.sinceRate, pu.rateAt, pu.elsewhere = 0, now, elsewhere
-}
-
-// share is the part of the demand that comes here.
-func (pu *purse) share() float64 {
-	if pu.rate+pu.others == 0 {
-		return 0.5
-	}
-	return pu.rate / (pu.rate + pu.others)
-}
-
 // Retire ends the home for a planned stop: it gives no more reservations and,
 // once none is outstanding, closes its grants at what was spent. It returns
 // how many reservations are still outstanding.
@@ -753,13 +429,3 @@
 	defer h.mu.Unlock()
 	return h.ledger.Restore(data)
 }
-
-// Outstanding returns how many reservations a sidecar holds.
-func (h *Home) Outstanding(s kcrid.Incarnation) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if sv := h.servers[s]; sv != nil {
-		return len(sv.open)
-	}
-	return 0
-}
--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -67,6 +67,12 @@
 	Refunded
 )
 
+// kindNames are the names of the kinds in logs.
+var kindNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded"}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
 // Effect is what the ledger made of a record. Tokens is what a claim was
 // granted or what became available again; Unmet is what a claim asked for in
 // vain.
--- a/kernel/kcrintent/desk.go
+++ b/kernel/kcrintent/desk.go
@@ -26,6 +26,12 @@
 	Expired                       // the book no longer knows calls of that age
 )
 
+// progressNames are the names of the kinds of progress in logs.
+var progressNames = [...]string{"none", "waiting", "mine", "elsewhere", "refused", "finished", "expired"}
+
+// String returns the name of the progress.
+func (p Progress) String() string { return progressNames[p] }
+
 type local struct {
 	seq       uint64
 	started   bool
--- a/router/kcrrouter/router.go
+++ b/router/kcrrouter/router.go
@@ -5,14 +5,12 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -29,15 +27,9 @@
 
 // Config is what a Router is made of.
 type Config struct {
-	Settings *kcrsettings.Settings
-	Self     kcrsettings.Router
-	Policy   kcrroute.Policy
-	Clock    kcrclock.Clock
-	Logger   *slog.Logger
-	Platform *kcrplatform.Client
-	VMs      *kcrplatform.Client
-	Metrics  *prometheus.Registry
-	Pool     *kcrlink.Pool
+	kcrdaemon.Parts
+	Self   kcrsettings.Router
+	Policy kcrroute.Policy
 }
 
 // Router is a running router.
@@ -101,7 +93,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	r.wait.Go(func() { r.sampleLoads(ctx) })
+	r.wait.Go(func() { kcrdaemon.Every(ctx, sampleEvery, r.sampleLoads) })
 	return r, nil
 }
 
@@ -156,19 +148,6 @@
 // sampleLoads asks a few sidecars in turn, so that a router hears of those
 // that it does not use without asking all of them.
 func (r *Router) sampleLoads(ctx context.Context) {
-	t := time.NewTicker(sampleEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.sampleOnce(ctx)
-		}
-	}
-}
-
-func (r *Router) sampleOnce(ctx context.Context) {
 	ups := r.table.Upstreams()
 	for range min(sampleSize, len(ups)) {
 		r.sample++
--- a/sidecar/kcrsidecar/once.go
+++ b/sidecar/kcrsidecar/once.go
@@ -38,7 +38,7 @@
 	defer s.gate.leave(t)
 	s.desk.Claim(call, kcrid.Offset(r.GetSeen()), digest)
 	progress, entry := s.await(ctx, call, claimWait, unclaimedYet)
-	s.journal.Add(r.GetId(), "intent", "team", r.GetTeam(), "key", r.GetKey(), "progress", progress)
+	s.journal.Add(r.GetId(), "intent", "team", r.GetTeam(), "key", r.GetKey(), "progress", progress.String())
 	if progress == kcrintent.Mine && s.desk.Run(call) {
 		return s.runOnce(r, call, out)
 	}
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -5,11 +5,9 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"kingcuprun.example/kernel/kcrbudget"
@@ -28,16 +26,10 @@
 
 // Config is what a Sidecar is made of.
 type Config struct {
-	Settings *kcrsettings.Settings
-	Self     kcrsettings.Upstream
-	Server   kcrid.Incarnation
-	Escrow   kcrbudget.Policy
-	Clock    kcrclock.Clock
-	Logger   *slog.Logger
-	Platform *kcrplatform.Client
-	VMs      *kcrplatform.Client
-	Metrics  *prometheus.Registry
-	Pool     *kcrlink.Pool
+	kcrdaemon.Parts
+	Self   kcrsettings.Upstream
+	Server kcrid.Incarnation
+	Escrow kcrbudget.Policy
 }
 
 // Sidecar is a running sidecar.
@@ -116,8 +108,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.wait.Go(func() { s.tick(ctx) })
-	s.wait.Go(func() { s.probe(ctx) })
+	s.wait.Go(func() { kcrdaemon.Every(ctx, tickInterval, s.tick) })
+	s.wait.Go(func() { kcrdaemon.Every(ctx, probeInterval, s.probe) })
 	return s, nil
 }
 
@@ -156,20 +148,11 @@
 	return true
 }
 
-func (s *Sidecar) tick(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			now := s.clock.Now()
-			s.gate.tick(now)
-			s.tapes.expire(now)
-			s.homes.tick(now)
-		}
-	}
+func (s *Sidecar) tick(context.Context) {
+	now := s.clock.Now()
+	s.gate.tick(now)
+	s.tapes.expire(now)
+	s.homes.tick(now)
 }
 
 // peers returns the addresses of the other sidecars.
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -2,78 +2,30 @@
 package main
 
 import (
-	"context"
 	"crypto/rand"
 	"fmt"
 	"os"
-	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/spf13/cobra"
-
-	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrkernel"
 	"kingcuprun.example/link/kcrdaemon"
-	"kingcuprun.example/link/kcrlink"
-	"kingcuprun.example/link/kcrplatform"
-	"kingcuprun.example/link/kcrsettings"
 	"kingcuprun.example/sidecar/kcrsidecar"
 )
 
-// stopTime bounds a planned stop.
-const stopTime = 10 * time.Minute
+// nameLength is the length of the random part of an incarnation.
+const nameLength = 10
 
-func main() {
-	var path, vm, level string
-	cmd := &cobra.Command{
-		Use:           "sidecar --settings FILE --vm NAME",
-		Short:         "Run the sidecar of an upstream",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return run(path, vm, level) },
-	}
-	cmd.Flags().StringVar(&path, "settings", "", "settings file of the deployment")
-	cmd.Flags().StringVar(&vm, "vm", "", "name of this VM in the settings")
-	cmd.Flags().StringVar(&level, "level", "info", "lowest level that is logged")
-	if err := cmd.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "sidecar:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(kcrdaemon.Main("sidecar", "Run the sidecar of an upstream", start)) }
 
-func run(path, vm, level string) error {
-	settings, err := kcrsettings.Load(path)
-	if err != nil {
-		return err
-	}
-	self, ok := settings.Upstream(kcrid.VM(vm))
+func start(p kcrdaemon.Parts) (kcrdaemon.Daemon, error) {
+	self, ok := p.Settings.Upstream(p.VM)
 	if !ok {
-		return fmt.Errorf("expected an upstream of the settings, got VM %q", vm)
-	}
-	escrow, err := kcrkernel.New(kcrkernel.Builtin).EscrowPolicy(settings.Escrow)
-	if err != nil {
-		return err
+		return nil, fmt.Errorf("expected an upstream of the settings, got VM %q", p.VM)
 	}
-	stop := kcrdaemon.Stop()
-	s, err := kcrsidecar.New(kcrsidecar.Config{
-		Settings: settings,
-		Self:     self,
-		Server:   kcrid.Incarnation(vm + "/" + rand.Text()[:10]),
-		Escrow:   escrow,
-		Clock:    kcrclock.Monotonic(),
-		Logger:   kcrdaemon.Logger("sidecar", vm, level),
-		Platform: kcrplatform.New(settings.Log, kcrplatform.HTTPClient()),
-		VMs:      kcrplatform.New(settings.VMs, kcrplatform.HTTPClient()),
-		Metrics:  prometheus.NewRegistry(),
-		Pool:     kcrlink.NewPool(),
-	})
+	escrow, err := kcrkernel.New(kcrkernel.Builtin).EscrowPolicy(p.Settings.Escrow)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	<-stop
-	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
-	defer cancel()
-	s.Stop(ctx)
-	return nil
+	server := kcrid.Incarnation(string(p.VM) + "/" + rand.Text()[:nameLength])
+	return kcrsidecar.New(kcrsidecar.Config{Parts: p, Self: self, Server: server, Escrow: escrow})
 }
