The VMs of the settings count until the VM list answers

Cause, found by reading: a process that started while the VM list was down knew no peer to ask for the lists and no upstream. TestStartDuringLogOutage now takes the VM list down too.

--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -132,7 +132,7 @@
 	}
 	s := settings(size)
 	r = &Rig{
-		Settings: s, Log: kcrstandin.NewLog(), VMs: kcrstandin.NewVMs(size.Lag, kcrstandin.Listed(s)),
+		Settings: s, Log: kcrstandin.NewLog(), VMs: kcrstandin.NewVMs(size.Lag, kcrdaemon.Listed(s)),
 		Effects: kcrstandin.NewEffects(), pools: map[kcrid.VM]*kcrlink.Pool{}, size: size,
 	}
 	if err := r.startPlatform(); err != nil {
--- a/bench/kcrrig/stop_test.go
+++ b/bench/kcrrig/stop_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// A router that starts while the log is down learns the configuration from
-// its peers, and requests are served from grants.
+// A router that starts while the log and the VM list are down learns the
+// configuration from its peers, and requests are served from grants.
 func TestStartDuringLogOutage(t *testing.T) {
 	t.Parallel()
 	r := start(t, Size{Routers: 2, Engines: 2, Plains: 0, Tokens: 1_000_000})
@@ -147,6 +147,7 @@
 	version := r.Routers[0].Version()
 	time.Sleep(4 * time.Second)
 	r.Log.Fault(kcrstandin.LogFaults{Down: true})
+	r.VMs.Down(true)
 	r.Routers[1].Stop(ctx)
 	rt, err := r.StartRouter(1)
 	if err != nil {
--- a/link/kcrdaemon/fleet.go
+++ b/link/kcrdaemon/fleet.go
@@ -10,6 +10,7 @@
 
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/link/kcrplatform"
+	"kingcuprun.example/link/kcrsettings"
 )
 
 // This file defines the fleet: the last VM list that a process has seen. It
@@ -30,10 +31,20 @@
 	vms     []kcrplatform.VM
 }
 
-// NewFleet starts to poll; update is called with each new list.
-func NewFleet(client *kcrplatform.Client, logger *slog.Logger, update func([]kcrplatform.VM)) *Fleet {
+// Listed returns the VMs of the settings in the form of a VM list.
+func Listed(s *kcrsettings.Settings) (out []kcrplatform.VM) {
+	for _, u := range s.Upstreams {
+		out = append(out, kcrplatform.VM{Name: u.VM, Addr: u.Listen, Zone: u.Zone, Region: s.Region, Service: u.Service, State: "live"})
+	}
+	return out
+}
+
+// NewFleet starts to poll; update is called with each new list. Until the VM
+// list answers for the first time, the VMs of the settings count.
+func NewFleet(client *kcrplatform.Client, initial []kcrplatform.VM, logger *slog.Logger, update func([]kcrplatform.VM)) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{client: client, logger: logger, update: update, cancel: cancel}
+	f := &Fleet{client: client, logger: logger, update: update, cancel: cancel, vms: initial}
+	update(initial)
 	f.poll(ctx)
 	f.wait.Go(func() {
 		for ctx.Err() == nil {
--- a/router/kcrrouter/http.go
+++ b/router/kcrrouter/http.go
@@ -249,20 +249,6 @@
 	return out
 }
 
-// all reads an answer to its end.
-func (a *answer) all(ctx context.Context) (body []byte, err error) {
-	for {
-		data, err := a.next(ctx)
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		body = append(body, data...)
-	}
-}
-
 // pump passes a stream on event by event. A stream that breaks ends with an
 // error event and without [DONE].
 func (r *Router) pump(ctx context.Context, w *bufio.Writer, a *answer) {
--- a/router/kcrrouter/router.go
+++ b/router/kcrrouter/router.go
@@ -78,7 +78,7 @@
 		seens:    map[kcrid.Service]kcrid.Offset{},
 	}
 	r.table = kcrroute.New(kcrroute.Home{Zone: c.Self.Zone, Region: c.Settings.Region}, c.Policy, rand.IntN)
-	r.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, r.listed)
+	r.fleet = kcrdaemon.NewFleet(c.VMs, kcrdaemon.Listed(c.Settings), c.Logger, r.listed)
 	r.lists = kcrdaemon.NewConfig(kcrdaemon.ConfigOptions{
 		State: r.state, Log: c.Platform.Log(), Pool: r.pool, Peers: r.peers, Logger: c.Logger,
 		Changed: func(*kcrentry.Entry) { r.listed(r.fleet.VMs()) },
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -88,7 +88,7 @@
 	}
 	s.crashes = newCrashes(kcrlog.NewOutbox(c.Server), string(c.Server))
 	s.ranking.reset()
-	s.fleet = kcrdaemon.NewFleet(c.VMs, c.Logger, func([]kcrplatform.VM) { s.ranking.reset() })
+	s.fleet = kcrdaemon.NewFleet(c.VMs, kcrdaemon.Listed(c.Settings), c.Logger, func([]kcrplatform.VM) { s.ranking.reset() })
 	log := c.Platform.Log()
 	s.lists = kcrdaemon.NewConfig(kcrdaemon.ConfigOptions{
 		State: s.state, Log: log, Pool: s.pool, Peers: s.peers, Logger: c.Logger,
--- a/standin/kcrstandin/vms.go
+++ b/standin/kcrstandin/vms.go
@@ -10,7 +10,6 @@
 
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/link/kcrplatform"
-	"kingcuprun.example/link/kcrsettings"
 )
 
 // This file is the VM list, which shows changes with a lag.
@@ -20,6 +19,7 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	version uint64
+	down    bool
 	shown   []kcrplatform.VM
 	now     []kcrplatform.VM
 }
@@ -29,12 +29,11 @@
 	return &VMs{lag: lag, version: 1, shown: vms, now: append([]kcrplatform.VM(nil), vms...)}
 }
 
-// Listed returns the entries of a deployment's upstreams.
-func Listed(s *kcrsettings.Settings) (out []kcrplatform.VM) {
-	for _, u := range s.Upstreams {
-		out = append(out, kcrplatform.VM{Name: u.VM, Addr: u.Listen, Zone: u.Zone, Region: s.Region, Service: u.Service, State: "live"})
-	}
-	return out
+// Down makes the list answer nothing, or answer again.
+func (v *VMs) Down(down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = down
 }
 
 // Mark sets the state of a VM; "gone" removes it.
@@ -70,6 +69,9 @@
 	app.Get(kcrplatform.VMsPath, func(c fiber.Ctx) error {
 		v.mu.Lock()
 		defer v.mu.Unlock()
+		if v.down {
+			return hangUp(c)
+		}
 		out := kcrplatform.VMList{Version: v.version}
 		if c.Query("version") != strconv.FormatUint(v.version, 10) {
 			out.VMs = v.shown
--- a/standin/main.go
+++ b/standin/main.go
@@ -41,7 +41,7 @@
 	stop := kcrdaemon.Stop()
 	log, vms := fiber.New(fiber.Config{BodyLimit: 64 << 20}), fiber.New()
 	kcrstandin.NewLog().Route(log)
-	kcrstandin.NewVMs(lag, kcrstandin.Listed(s)).Route(vms)
+	kcrstandin.NewVMs(lag, kcrdaemon.Listed(s)).Route(vms)
 	if err := kcrdaemon.Serve(log, s.Log); err != nil {
 		return err
 	}
