--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -51,6 +51,7 @@
 	Lag     time.Duration
 	Slots   int // of an upstream, 0 for 16
 	Snap    kcrclock.Duration
+	Rules   *kcrsidecar.Rules // nil for those of production
 	Logger  *slog.Logger
 }
 
@@ -196,7 +197,11 @@
 	u := r.Settings.Upstreams[i]
 	r.serial++
 	server := kcrid.Incarnation(fmt.Sprintf("%s/%d", u.VM, r.serial))
-	return kcrsidecar.New(kcrsidecar.Config{Parts: r.parts(u.VM), Self: u, Server: server, Escrow: escrow})
+	rules := kcrsidecar.DefaultRules()
+	if r.size.Rules != nil {
+		rules = *r.size.Rules
+	}
+	return kcrsidecar.New(kcrsidecar.Config{Parts: r.parts(u.VM), Self: u, Server: server, Escrow: escrow, Rules: rules})
 }
 
 // parts returns what a process is made of.
--- /dev/null
+++ b/bench/kcrrig/stale_test.go
@@ -0,0 +1,108 @@
+package kcrrig
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/link/kcrlink"
+	"kingcuprun.example/link/kcrwire"
+	"kingcuprun.example/sidecar/kcrsidecar"
+)
+
+// staleStart sends a request straight to a sidecar, as a router would that has
+// heard of nothing, and returns the first frame and how often the engine ran it.
+func staleStart(t *testing.T, r *Rig, key string, content kcrid.Content) (*kcrwire.Frame, int) {
+	t.Helper()
+	pool := kcrlink.NewPool()
+	defer pool.Close()
+	body := []byte(`{"model":"assistant-llm","max_tokens":8,"messages":["x"]}`)
+	st, err := pool.Open(context.Background(), r.Settings.Upstreams[0].Listen, &kcrwire.Request{Kind: &kcrwire.Request_Start{Start: &kcrwire.Start{
+		Team: string(Team), Plan: string(Plan), Key: key, Service: Model, Model: Model, Method: "POST", Path: "/v1/chat/completions",
+		Type: "application/json", Body: body, Worst: 200, Content: uint64(content), Id: key,
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Until(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var f kcrwire.Frame
+	if err := st.Recv(&f); err != nil {
+		t.Fatal(err)
+	}
+	return &f, r.Engines[0].Ran(key)
+}
+
+// ban puts a content on the log that crashed an upstream while it ran alone.
+func (r *Rig) ban(t *testing.T, content kcrid.Content) {
+	t.Helper()
+	box := kcrlog.NewOutbox("other-sidecar")
+	box.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Suspect{Suspect: &kcrentry.Suspect{Content: uint64(content), Server: "other", Alone: true}}})
+	records, _ := box.Batch(1)
+	r.Log.Append(kcrid.ConfigStream, records)
+	time.Sleep(time.Second)
+}
+
+// A sidecar that is leaving refuses a request of a router that does not know,
+// and says truly that it did not run. Without the rule it runs.
+func TestLeavingSidecarRefuses(t *testing.T) {
+	t.Parallel()
+	mutant := kcrsidecar.DefaultRules()
+	mutant.Refuses = func(bool) bool { return false }
+	tests := []struct {
+		name  string
+		rules *kcrsidecar.Rules
+		ran   int
+	}{
+		{"rule", nil, 0},
+		{"mutant", &mutant, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, Size{Routers: 1, Engines: 2, Tokens: 10_000, Lag: time.Hour, Rules: test.rules})
+			if err := r.Operator.Leave(context.Background(), "assistant-llm-1"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			f, ran := staleStart(t, r, "stale", 1)
+			if ran != test.ran {
+				t.Errorf("expected %d runs, got %d (%v)", test.ran, ran, f)
+			}
+			if test.ran == 0 && (f.GetRefusal().GetCode() != "leaving" || f.GetRefusal().GetRan()) {
+				t.Errorf("expected a refusal that did not run, got %v", f)
+			}
+		})
+	}
+}
+
+// A sidecar refuses a content that crashed an upstream while it ran alone, though
+// it comes under a new key and past every router that knows. Without the rule
+// it runs.
+func TestBannedContentIsRefused(t *testing.T) {
+	t.Parallel()
+	mutant := kcrsidecar.DefaultRules()
+	mutant.Bans = func(bool) bool { return false }
+	tests := []struct {
+		name  string
+		rules *kcrsidecar.Rules
+		ran   int
+	}{
+		{"rule", nil, 0},
+		{"mutant", &mutant, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, Size{Routers: 1, Engines: 2, Tokens: 10_000, Rules: test.rules})
+			r.ban(t, 77)
+			if f, ran := staleStart(t, r, "banned", 77); ran != test.ran {
+				t.Errorf("expected %d runs, got %d (%v)", test.ran, ran, f)
+			}
+		})
+	}
+}
--- a/sidecar/kcrsidecar/generate.go
+++ b/sidecar/kcrsidecar/generate.go
@@ -59,10 +59,10 @@
 
 // admit refuses what must not start here.
 func (s *Sidecar) admit(r *kcrwire.Start, w *work) error {
-	if s.leaving() {
+	if s.config.Rules.Refuses(s.leaving()) {
 		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, After: 1}
 	}
-	if _, banned := s.state.Suspected(w.content); banned {
+	if _, banned := s.state.Suspected(w.content); s.config.Rules.Bans(banned) {
 		return &kcrerror.Refusal{Code: kcrerror.Harmful, Text: "requests of this content crash their upstream"}
 	}
 	if r.GetWorst() <= 0 {
--- a/sidecar/kcrsidecar/once.go
+++ b/sidecar/kcrsidecar/once.go
@@ -28,7 +28,7 @@
 func (s *Sidecar) once(ctx context.Context, r *kcrwire.Start, out *frames) error {
 	call := kcrid.Call{Team: kcrid.Team(r.GetTeam()), Key: kcrid.Key(r.GetKey())}
 	digest := xxhash.Sum64(append([]byte(r.GetMethod()+" "+r.GetPath()+"\n"), r.GetBody()...))
-	if p, _ := s.desk.Ask(call); p == kcrintent.Waiting && s.leaving() {
+	if p, _ := s.desk.Ask(call); p == kcrintent.Waiting && s.config.Rules.Refuses(s.leaving()) {
 		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, After: 1}
 	}
 	t, err := s.gate.enter(ctx, r.GetRank(), false)
--- a/sidecar/kcrsidecar/plain.go
+++ b/sidecar/kcrsidecar/plain.go
@@ -12,7 +12,7 @@
 
 // repeatable passes on a call to a plain service that may be repeated.
 func (s *Sidecar) repeatable(ctx context.Context, r *kcrwire.Start, out *frames) error {
-	if s.leaving() {
+	if s.config.Rules.Refuses(s.leaving()) {
 		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, After: 1}
 	}
 	t, err := s.gate.enter(ctx, r.GetRank(), false)
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -30,6 +30,23 @@
 	Self   kcrsettings.Upstream
 	Server kcrid.Incarnation
 	Escrow kcrbudget.Policy
+	Rules  Rules
+}
+
+// Rules are the decisions of a sidecar that a test can take out.
+type Rules struct {
+	// Refuses tells whether new work is refused.
+	Refuses func(leaving bool) bool
+	// Bans tells whether a content is refused.
+	Bans func(banned bool) bool
+}
+
+// DefaultRules returns the rules that hold in production.
+func DefaultRules() Rules {
+	return Rules{
+		Refuses: func(leaving bool) bool { return leaving },
+		Bans:    func(banned bool) bool { return banned },
+	}
 }
 
 // Sidecar is a running sidecar.
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -27,5 +27,7 @@
 		return nil, err
 	}
 	server := kcrid.Incarnation(string(p.VM) + "/" + rand.Text()[:nameLength])
-	return kcrsidecar.New(kcrsidecar.Config{Parts: p, Self: self, Server: server, Escrow: escrow})
+	return kcrsidecar.New(kcrsidecar.Config{
+		Parts: p, Self: self, Server: server, Escrow: escrow, Rules: kcrsidecar.DefaultRules(),
+	})
 }
