--- a/bench/kcrproof/once.go
+++ b/bench/kcrproof/once.go
@@ -39,7 +39,7 @@
 	log     []*kcrentry.Entry
 	down    bool
 	desks   []*deskNode
-	mail    []func()
+	mail    mailbox
 	late    []func()
 	serial  int
 	calls   int
@@ -51,7 +51,7 @@
 // Once runs one schedule and returns the first violation. Ran is the number of
 // effects, to show that the run did something.
 func Once(rules kcrintent.Rules, pick Pick, steps int) (ran int, err error) {
-	w := &onceWorld{pick: pick, rules: rules, effects: map[kcrid.Call]int{}, told: map[kcrid.Call]bool{}}
+	w := &onceWorld{pick: pick, mail: mailbox{pick: pick}, rules: rules, effects: map[kcrid.Call]int{}, told: map[kcrid.Call]bool{}}
 	for range onceDesks {
 		w.addDesk()
 	}
@@ -105,18 +105,7 @@
 
 func (d *deskNode) acts() bool { return !d.frozen && !d.dead }
 
-func (w *onceWorld) deliver() {
-	if len(w.mail) == 0 {
-		return
-	}
-	i := w.pick(len(w.mail))
-	if w.pick(3) > 0 {
-		i = 0
-	}
-	f := w.mail[i]
-	w.mail = slices.Delete(w.mail, i, i+1)
-	f()
-}
+func (w *onceWorld) deliver() { w.mail.deliver() }
 
 // deliverLate lets a copy arrive that was under way for long.
 func (w *onceWorld) deliverLate() {
@@ -151,7 +140,7 @@
 	switch w.pick(5) {
 	case 0:
 	case 1:
-		w.mail = append(w.mail, func() { w.land(records) })
+		w.mail.put(func() { w.land(records) })
 	default:
 		w.land(records)
 	}
@@ -176,10 +165,10 @@
 	}
 	c := kcrid.Call{Team: team, Key: kcrid.Key(fmt.Sprint(w.calls - w.pick(min(w.calls, onceRecent))))}
 	seen := kcrid.Offset(len(w.log))
-	w.mail = append(w.mail, w.arrive(c, seen))
+	w.mail.put(w.arrive(c, seen))
 	switch w.pick(4) {
 	case 0:
-		w.mail = append(w.mail, w.arrive(c, seen))
+		w.mail.put(w.arrive(c, seen))
 	case 1:
 		w.late = append(w.late, w.arrive(c, seen))
 	}
--- a/bench/kcrproof/world.go
+++ b/bench/kcrproof/world.go
@@ -106,7 +106,7 @@
 	down    bool // the log
 	homes   []*homeNode
 	servers []*serverNode
-	mail    []func()
+	mail    mailbox
 	served  map[kcrid.Plan]kcrid.Tokens
 	prepaid map[kcrid.Plan]kcrid.Tokens
 	named   map[string]bool
@@ -124,7 +124,7 @@
 // Served is the number of tokens served, to show that the run did something.
 func Budget(rules BudgetRules, pick Pick, steps int) (served int, err error) {
 	w := &world{
-		pick: pick, rules: rules, bills: kcrbudget.NewStatement(planName(0)),
+		pick: pick, mail: mailbox{pick: pick}, rules: rules, bills: kcrbudget.NewStatement(planName(0)),
 		served: map[kcrid.Plan]kcrid.Tokens{}, prepaid: map[kcrid.Plan]kcrid.Tokens{},
 		named: map[string]bool{}, whole: map[kcrid.Call]kcrid.Tokens{},
 		deadHomes: map[kcrid.Incarnation]bool{},
@@ -245,26 +245,12 @@
 	case 0:
 		return
 	case 1:
-		w.mail = append(w.mail, f)
-	}
-	w.mail = append(w.mail, f)
-	if len(w.mail) > mailMost {
-		w.mail = w.mail[1:]
+		w.mail.put(f)
 	}
+	w.mail.put(f)
 }
 
-func (w *world) deliver() {
-	if len(w.mail) == 0 {
-		return
-	}
-	i := w.pick(len(w.mail))
-	if w.pick(3) > 0 {
-		i = 0
-	}
-	f := w.mail[i]
-	w.mail = append(w.mail[:i], w.mail[i+1:]...)
-	f()
-}
+func (w *world) deliver() { w.mail.deliver() }
 
 func (w *world) anyHome() *homeNode { return w.homes[w.pick(len(w.homes))] }
 
@@ -301,7 +287,7 @@
 	case 0:
 		return
 	case 1:
-		w.mail = append(w.mail, func() { w.land(records) })
+		w.mail.put(func() { w.land(records) })
 	default:
 		w.land(records)
 	}
--- a/bench/kcrrig/stale_test.go
+++ b/bench/kcrrig/stale_test.go
@@ -47,62 +47,53 @@
 	time.Sleep(time.Second)
 }
 
+// withMutant runs a test with the rules of production, under which the engine
+// must not run the request, and with a mutant, under which it must.
+func withMutant(t *testing.T, mutate func(*kcrsidecar.Rules), test func(t *testing.T, rules *kcrsidecar.Rules, runs int)) {
+	t.Helper()
+	t.Run("rule", func(t *testing.T) {
+		t.Parallel()
+		test(t, nil, 0)
+	})
+	t.Run("mutant", func(t *testing.T) {
+		t.Parallel()
+		rules := kcrsidecar.DefaultRules()
+		mutate(&rules)
+		test(t, &rules, 1)
+	})
+}
+
 // A sidecar that is leaving refuses a request of a router that does not know,
-// and says truly that it did not run. Without the rule it runs.
+// and says truly that it did not run.
 func TestLeavingSidecarRefuses(t *testing.T) {
 	t.Parallel()
-	mutant := kcrsidecar.DefaultRules()
-	mutant.Refuses = func(bool) bool { return false }
-	tests := []struct {
-		name  string
-		rules *kcrsidecar.Rules
-		ran   int
-	}{
-		{"rule", nil, 0},
-		{"mutant", &mutant, 1},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
-			r := start(t, Size{Routers: 1, Engines: 2, Tokens: 10_000, Lag: time.Hour, Rules: test.rules})
-			if err := r.Operator.Leave(context.Background(), "assistant-llm-1"); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(2 * time.Second)
-			f, ran := staleStart(t, r, "stale", 1)
-			if ran != test.ran {
-				t.Errorf("expected %d runs, got %d (%v)", test.ran, ran, f)
-			}
-			if test.ran == 0 && (f.GetRefusal().GetCode() != "leaving" || f.GetRefusal().GetRan()) {
-				t.Errorf("expected a refusal that did not run, got %v", f)
-			}
-		})
-	}
+	mutate := func(r *kcrsidecar.Rules) { r.Refuses = func(bool) bool { return false } }
+	withMutant(t, mutate, func(t *testing.T, rules *kcrsidecar.Rules, runs int) {
+		r := start(t, Size{Routers: 1, Engines: 2, Tokens: 10_000, Lag: time.Hour, Rules: rules})
+		if err := r.Operator.Leave(context.Background(), "assistant-llm-1"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		f, ran := staleStart(t, r, "stale", 1)
+		if ran != runs {
+			t.Errorf("expected %d runs, got %d (%v)", runs, ran, f)
+		}
+		if runs == 0 && (f.GetRefusal().GetCode() != "leaving" || f.GetRefusal().GetRan()) {
+			t.Errorf("expected a refusal that did not run, got %v", f)
+		}
+	})
 }
 
 // A sidecar refuses a content that crashed an upstream while it ran alone, though
-// it comes under a new key and past every router that knows. Without the rule
-// it runs.
+// it comes under a new key and past every router that knows.
 func TestBannedContentIsRefused(t *testing.T) {
 	t.Parallel()
-	mutant := kcrsidecar.DefaultRules()
-	mutant.Bans = func(bool) bool { return false }
-	tests := []struct {
-		name  string
-		rules *kcrsidecar.Rules
-		ran   int
-	}{
-		{"rule", nil, 0},
-		{"mutant", &mutant, 1},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
-			r := start(t, Size{Routers: 1, Engines: 2, Tokens: 10_000, Rules: test.rules})
-			r.ban(t, 77)
-			if f, ran := staleStart(t, r, "banned", 77); ran != test.ran {
-				t.Errorf("expected %d runs, got %d (%v)", test.ran, ran, f)
-			}
-		})
-	}
+	mutate := func(r *kcrsidecar.Rules) { r.Bans = func(bool) bool { return false } }
+	withMutant(t, mutate, func(t *testing.T, rules *kcrsidecar.Rules, runs int) {
+		r := start(t, Size{Routers: 1, Engines: 2, Tokens: 10_000, Rules: rules})
+		r.ban(t, 77)
+		if f, ran := staleStart(t, r, "banned", 77); ran != runs {
+			t.Errorf("expected %d runs, got %d (%v)", runs, ran, f)
+		}
+	})
 }
--- a/link/kcrsettings/settings.go
+++ b/link/kcrsettings/settings.go
@@ -22,15 +22,13 @@
 	Plain  Kind = "plain"
 )
 
-// Service is a group of upstreams. Fences tells whether they check the fencing
-// number of an order. Reserve bounds the tokens of an answer whose request
-// names no limit. Slots is the number of requests that an upstream is tried
+// Service is a group of upstreams. Reserve bounds the tokens of an answer whose
+// request names no limit. Slots is the number of requests that an upstream is tried
 // with at once before its limit adapts.
 type Service struct {
 	Name    kcrid.Service
 	Kind    Kind
 	Models  []kcrid.Model
-	Fences  bool
 	Reserve kcrid.Tokens
 	Slots   int
 }
@@ -206,7 +204,6 @@
 		"name":    func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Name) },
 		"kind":    func(n kcrjson.Node) error { return kind(n, &s.Kind) },
 		"models":  func(n kcrjson.Node) error { return kcrjson.Texts(n, &s.Models) },
-		"fences":  func(n kcrjson.Node) error { return kcrjson.Bool(n, &s.Fences) },
 		"reserve": func(n kcrjson.Node) error { return kcrjson.Int(n, &s.Reserve, 1, maxReserve) },
 		"slots":   func(n kcrjson.Node) error { return kcrjson.Int(n, &s.Slots, 1, maxSlots) },
 	}, "name", "kind")
--- a/router/kcrrouter/answer.go
+++ b/router/kcrrouter/answer.go
@@ -36,7 +36,6 @@
 	attempt uint32
 	skip    uint64 // bytes that the caller already has
 	passed  uint64
-	maybe   bool // an attempt may have run
 }
 
 // send opens the call. A resumed run is named; 0 starts or joins any.
--- a/router/kcrrouter/attempt.go
+++ b/router/kcrrouter/attempt.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a = &answer{r: s.r, q: s.q, choice: c, attempt: s.attempt, maybe: s.maybe}
+	a = &answer{r: s.r, q: s.q, choice: c, attempt: s.attempt}
 	if err = a.send(ctx, s.seen, 0); err == nil {
 		err = a.await()
 	}
--- a/sidecar/kcrsidecar/serve.go
+++ b/sidecar/kcrsidecar/serve.go
@@ -43,8 +43,6 @@
 		return s.lists.Listed(k.Lists)
 	case *kcrwire.Request_Bar:
 		return s.answerBar(ctx, k.Bar)
-	case *kcrwire.Request_Why:
-		return &kcrwire.Reply{Kind: &kcrwire.Reply_Explained{Explained: &kcrwire.Explained{Lines: s.journal.Find(k.Why.GetId())}}}, nil
 	default:
 		return nil, errors.New("expected a known request")
 	}
