--- /dev/null
+++ b/kernel/kcrbudget/concurrent_test.go
@@ -0,0 +1,132 @@
+package kcrbudget
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
+// budgetOp is a reservation (worst), or the settlement of one (worst, used).
+type budgetOp struct {
+	settles     bool
+	worst, used kcrid.Tokens
+}
+
+// budgetModel is a counter of free tokens: a reservation is granted exactly if
+// it fits.
+func budgetModel(free kcrid.Tokens) porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return free },
+		Step: func(state, input, output any) (bool, any) {
+			left, op := state.(kcrid.Tokens), input.(budgetOp)
+			switch {
+			case op.settles:
+				return true, left + op.worst - op.used
+			case output.(bool):
+				return left >= op.worst, left - op.worst
+			default:
+				return left < op.worst, left
+			}
+		},
+	}
+}
+
+// fundedHome returns a home that holds the whole budget.
+func fundedHome(t *testing.T, tokens kcrid.Tokens, fits func(free, worst kcrid.Tokens) bool) *Home {
+	t.Helper()
+	rules := DefaultHomeRules()
+	rules.Fits = fits
+	h := NewHome(Config{Self: "home", Rules: rules, LedgerRules: DefaultLedgerRules(), Policy: Policy{
+		Target: func(v View) kcrid.Tokens { return v.Available + v.Free },
+		Spare:  func(View, kcrid.Tokens) kcrid.Tokens { return 0 },
+	}})
+	h.Ready()
+	h.Credit("plan", "first", tokens)
+	h.Open([]kcrid.Incarnation{"server"})
+	off := kcrid.Offset(0)
+	for range 2 {
+		records, _ := h.Batch(100)
+		for _, data := range records {
+			e, err := kcrlog.Decode(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			off++
+			h.Apply(0, off, e)
+		}
+		h.Reserve(0, Ask{Call: kcrid.Call{Team: "team", Key: "warm"}, Plan: "plan", Server: "server", Worst: tokens + 1, Last: true})
+	}
+	records, _ := h.Batch(100)
+	for _, data := range records {
+		e, err := kcrlog.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		off++
+		h.Apply(0, off, e)
+	}
+	return h
+}
+
+// concurrentHistory lets clients reserve and settle at the same time.
+func concurrentHistory(h *Home) (ops []porcupine.Operation) {
+	const clients, rounds = 6, 12
+	var clock atomic.Int64
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	record := func(client int, op budgetOp, do func() bool) bool {
+		call := clock.Add(1)
+		out := do()
+		end := clock.Add(1)
+		mu.Lock()
+		defer mu.Unlock()
+		ops = append(ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Output: out, Return: end})
+		return out
+	}
+	for client := range clients {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range rounds {
+				worst := kcrid.Tokens(10 + 7*(client+i)%30)
+				call := kcrid.Call{Team: "team", Key: kcrid.Key(fmt.Sprintf("%d-%d", client, i))}
+				var ans Answer
+				granted := record(client, budgetOp{worst: worst}, func() bool {
+					ans = h.Reserve(0, Ask{Call: call, Plan: "plan", Server: "server", Worst: worst, Last: true})
+					return ans.Code == Granted
+				})
+				if !granted {
+					continue
+				}
+				used := worst / 2
+				record(client, budgetOp{settles: true, worst: worst, used: used}, func() bool {
+					h.Settle(0, "server", Report{Lines: []Line{{ID: ans.ID, Call: call, Plan: "plan", Tokens: used, State: Whole}}})
+					return true
+				})
+			}
+		}()
+	}
+	wait.Wait()
+	return ops
+}
+
+// A home answers concurrent reservations as a counter would, one after the
+// other; a home that gives more than it holds does not.
+func TestConcurrentReservations(t *testing.T) {
+	t.Parallel()
+	const tokens = 300
+	h := fundedHome(t, tokens, DefaultHomeRules().Fits)
+	if !porcupine.CheckOperations(budgetModel(tokens), concurrentHistory(h)) {
+		t.Error("expected an order of the reservations that a counter explains, got none")
+	}
+	mutant := fundedHome(t, tokens, func(_, _ kcrid.Tokens) bool { return true })
+	if porcupine.CheckOperations(budgetModel(tokens), concurrentHistory(mutant)) {
+		t.Error("expected the mutant to be found, got an order that explains it")
+	}
+}
