Say things once: ranks, loops with a wake, batches of records; drop what is unused

Read as a whole: the rank of a VM was worked out in three places, a loop with a wake stood beside Every, two proofs and a test decoded batches by themselves, and "no candidate" was handled twice.

--- a/bench/kcrproof/mailbox.go
+++ b/bench/kcrproof/mailbox.go
@@ -1,5 +1,10 @@
 package kcrproof
 
+import (
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
 // mailbox holds messages that are under way. They arrive mostly in order.
 type mailbox struct {
 	pick Pick
@@ -26,3 +31,15 @@
 	m.mail = append(m.mail[:i], m.mail[i+1:]...)
 	f()
 }
+
+// entries reads the records of a batch.
+func entries(records [][]byte) (out []*kcrentry.Entry, err error) {
+	for _, data := range records {
+		e, err := kcrlog.Decode(data)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
--- a/bench/kcrproof/once.go
+++ b/bench/kcrproof/once.go
@@ -7,7 +7,6 @@
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrintent"
-	"kingcuprun.example/kernel/kcrlog"
 )
 
 // This file proves that a non-idempotent call runs at most once, and not at
@@ -147,14 +146,11 @@
 }
 
 func (w *onceWorld) land(records [][]byte) {
-	for _, data := range records {
-		e, err := kcrlog.Decode(data)
-		if err != nil {
-			w.broken = err
-			return
-		}
-		w.log = append(w.log, e)
+	batch, err := entries(records)
+	if err != nil {
+		w.broken = err
 	}
+	w.log = append(w.log, batch...)
 }
 
 // send lets a caller send a call, new or again, to a sidecar; copies of it may
--- a/bench/kcrproof/world.go
+++ b/bench/kcrproof/world.go
@@ -15,7 +15,6 @@
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
-	"kingcuprun.example/kernel/kcrlog"
 )
 
 // This file defines the world of the budget proof: two regions with homes and
@@ -294,12 +293,11 @@
 }
 
 func (w *world) land(records [][]byte) {
-	for _, data := range records {
-		e, err := kcrlog.Decode(data)
-		if err != nil {
-			w.broken = err
-			return
-		}
+	batch, err := entries(records)
+	if err != nil {
+		w.broken = err
+	}
+	for _, e := range batch {
 		w.log = append(w.log, e)
 		if c := e.GetCredit(); c != nil && !w.named[c.GetPlan()+c.GetName()] {
 			w.named[c.GetPlan()+c.GetName()] = true
--- a/kernel/kcranswer/splice.go
+++ b/kernel/kcranswer/splice.go
@@ -86,6 +86,3 @@
 	}
 	return Whole, nil
 }
-
-// Passed returns the number of bytes passed on.
-func (s *Splice) Passed() uint64 { return s.passed }
--- a/kernel/kcranswer/tape.go
+++ b/kernel/kcranswer/tape.go
@@ -21,12 +21,11 @@
 	ended  bool
 	err    error
 	tokens kcrid.Tokens
-	sealed chan struct{}
 }
 
 // NewTape returns an empty tape.
 func NewTape() *Tape {
-	return &Tape{wake: make(chan struct{}), sealed: make(chan struct{})}
+	return &Tape{wake: make(chan struct{})}
 }
 
 func (t *Tape) signal() {
@@ -65,13 +64,9 @@
 		return
 	}
 	t.ended, t.tokens, t.err = true, tokens, err
-	close(t.sealed)
 	t.signal()
 }
 
-// Sealed is closed at the end of the tape.
-func (t *Tape) Sealed() <-chan struct{} { return t.sealed }
-
 // View is what a reader finds at a position.
 type View struct {
 	Status int
--- a/kernel/kcrbudget/concurrent_test.go
+++ b/kernel/kcrbudget/concurrent_test.go
@@ -51,17 +51,17 @@
 	h.Open([]kcrid.Incarnation{"server"})
 	off := kcrid.Offset(0)
 	for range 2 {
-		records, _ := h.Batch(100)
-		for _, data := range records {
-			e, err := kcrlog.Decode(data)
-			if err != nil {
-				t.Fatal(err)
-			}
-			off++
-			h.Apply(0, off, e)
-		}
+		off = exchange(t, h, off)
 		h.Reserve(0, Ask{Call: kcrid.Call{Team: "team", Key: "warm"}, Plan: "plan", Server: "server", Worst: tokens + 1, Last: true})
 	}
+	exchange(t, h, off)
+	return h
+}
+
+// exchange puts what a home has to say on its own ledger, after an offset, and
+// returns the offset of the last record.
+func exchange(t *testing.T, h *Home, off kcrid.Offset) kcrid.Offset {
+	t.Helper()
 	records, _ := h.Batch(100)
 	for _, data := range records {
 		e, err := kcrlog.Decode(data)
@@ -71,7 +71,7 @@
 		off++
 		h.Apply(0, off, e)
 	}
-	return h
+	return off
 }
 
 // concurrentHistory lets clients reserve and settle at the same time.
--- a/kernel/kcrintent/book.go
+++ b/kernel/kcrintent/book.go
@@ -162,9 +162,6 @@
 	}
 }
 
-// Horizon returns the oldest arrival that may still be claimed.
-func (b *Book) Horizon() kcrid.Offset { return b.horizon }
-
 // bookImage is the snapshot form of a book.
 type bookImage struct {
 	At      kcrid.Offset `json:"at"`
--- a/kernel/kcrintent/desk.go
+++ b/kernel/kcrintent/desk.go
@@ -133,14 +133,6 @@
 	return true
 }
 
-// Started tells whether Run has said yes for the call.
-func (d *Desk) Started(c kcrid.Call) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.locals[c]
-	return l != nil && l.started
-}
-
 // Abandon makes sure that this sidecar will not start the call, and tells
 // whether that is so: it is not if the call has started.
 func (d *Desk) Abandon(c kcrid.Call) bool {
--- a/link/kcrdaemon/every.go
+++ b/link/kcrdaemon/every.go
@@ -7,6 +7,12 @@
 
 // Every calls f at an interval until the context ends.
 func Every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	EveryOrWhen(ctx, interval, nil, f)
+}
+
+// EveryOrWhen calls f at an interval, and whenever wake gets a value, until the
+// context ends.
+func EveryOrWhen(ctx context.Context, interval time.Duration, wake <-chan struct{}, f func(context.Context)) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
@@ -14,7 +20,8 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			f(ctx)
+		case <-wake:
 		}
+		f(ctx)
 	}
 }
--- a/router/kcrrouter/attempt.go
+++ b/router/kcrrouter/attempt.go
@@ -28,8 +28,8 @@
 		if a, err = s.try(ctx); err == nil {
 			return a, nil
 		}
-		if errors.Is(err, errNoCandidate) && s.last != nil {
-			err = s.last
+		if errors.Is(err, errNoCandidate) {
+			err = s.reason(err)
 			break
 		}
 		s.last = err
@@ -40,6 +40,14 @@
 	return nil, r.final(ctx, q, s, err)
 }
 
+// reason returns why the attempts before failed, or err if there were none.
+func (s *search) reason(err error) error {
+	if s.last != nil {
+		return s.last
+	}
+	return err
+}
+
 // search is the state of the attempts for one request.
 type search struct {
 	r       *Router
@@ -123,9 +131,6 @@
 		return false
 	}
 	var refusal *kcrerror.Refusal
-	if errors.Is(err, errNoCandidate) {
-		return false
-	}
 	if errors.As(err, &refusal) {
 		switch refusal.Code {
 		case kcrerror.Leaving, kcrerror.Elsewhere:
--- a/sidecar/kcrsidecar/ranking.go
+++ b/sidecar/kcrsidecar/ranking.go
@@ -103,22 +103,20 @@
 	if len(out) == 0 {
 		out = append(out, s.ownEntry())
 	}
-	item := fmt.Sprint(b)
-	sort.Slice(out, func(i, j int) bool {
-		return kcrid.Ranked(item, string(out[i].Name)) > kcrid.Ranked(item, string(out[j].Name))
-	})
+	sort.Slice(out, func(i, j int) bool { return rank(b, out[i].Name) > rank(b, out[j].Name) })
 	out = out[:min(homesTried, len(out))]
 	s.ranking.byBucket[b] = out
 	return out
 }
 
+// rank weighs a VM as the home of a bucket.
+func rank(b kcrid.Bucket, vm kcrid.VM) uint64 { return kcrid.Ranked(fmt.Sprint(b), string(vm)) }
+
 // first tells whether this sidecar is where others look for the calls of a
 // bucket.
 func (s *Sidecar) first(b kcrid.Bucket) bool {
-	order := s.ranked(b)
-	item := fmt.Sprint(b)
-	own := kcrid.Ranked(item, string(s.config.Self.VM))
-	return order[0].Name == s.config.Self.VM || own > kcrid.Ranked(item, string(order[0].Name))
+	best, self := s.ranked(b)[0].Name, s.config.Self.VM
+	return best == self || rank(b, self) > rank(b, best)
 }
 
 // alone tells whether there is no other sidecar to be a home.
--- a/sidecar/kcrsidecar/settle.go
+++ b/sidecar/kcrsidecar/settle.go
@@ -11,6 +11,7 @@
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrwire"
 )
 
@@ -62,24 +63,10 @@
 		s: s, cancel: cancel, wake: make(chan struct{}, 1), accounts: map[kcrid.Incarnation]*account{},
 		bills: newBillbox(s.self+"/settle", log, s.config.Logger),
 	}
-	st.wait.Go(func() { st.loop(ctx) })
+	st.wait.Go(func() { kcrdaemon.EveryOrWhen(ctx, settleTick, st.wake, st.flush) })
 	return st
 }
 
-func (st *settler) loop(ctx context.Context) {
-	t := time.NewTicker(settleTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		case <-st.wake:
-		}
-		st.flush(ctx)
-	}
-}
-
 func (st *settler) account(g grant) *account {
 	a, ok := st.accounts[g.holder]
 	if !ok {
