--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -29,6 +29,8 @@
 	Allotted kcrid.Tokens            `json:"allotted"`
 	Settled  kcrid.Tokens            `json:"settled"`
 	Credits  map[string]kcrid.Tokens `json:"credits"`
+	// Version is that of the list that set Prepaid, 0 if credits made it.
+	Version uint64 `json:"version,omitempty"`
 }
 
 // Available returns what no grant holds and nobody has spent.
@@ -65,10 +67,11 @@
 	Closed
 	Fenced
 	Refunded
+	Limited
 )
 
 // kindNames are the names of the kinds in logs.
-var kindNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded"}
+var kindNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded", "limited"}
 
 // String returns the name of the kind.
 func (k Kind) String() string { return kindNames[k] }
@@ -96,6 +99,8 @@
 	Named func(credits map[string]kcrid.Tokens, name string) bool
 	// Deposed tells whether a holder has lost its grants.
 	Deposed func(fenced kcrid.Offset) bool
+	// Newer tells whether a limit replaces the one of another version.
+	Newer func(current, version uint64) bool
 }
 
 // DefaultLedgerRules returns the rules that hold in production.
@@ -105,6 +110,7 @@
 		Repeat:  func(fresh bool) bool { return !fresh },
 		Named:   func(credits map[string]kcrid.Tokens, name string) bool { _, ok := credits[name]; return ok },
 		Deposed: func(fenced kcrid.Offset) bool { return fenced != 0 },
+		Newer:   func(current, version uint64) bool { return version > current },
 	}
 }
 
@@ -200,6 +206,8 @@
 	switch k := e.GetKind().(type) {
 	case *kcrentry.Entry_Credit:
 		return l.credit(k.Credit)
+	case *kcrentry.Entry_Limit:
+		return l.limit(k.Limit)
 	case *kcrentry.Entry_Claim:
 		return l.claim(writer, k.Claim)
 	case *kcrentry.Entry_Mark:
@@ -246,6 +254,18 @@
 	return Effect{Kind: Credited, Plan: plan, Tokens: tokens}
 }
 
+// limit sets what is prepaid. Available can become negative: what is granted
+// or spent stays so, and nothing more is granted until it is positive again.
+func (l *Ledger) limit(m *kcrentry.Limit) Effect {
+	plan := kcrid.Plan(m.GetPlan())
+	a := l.account(plan)
+	if !l.rules.Newer(a.Version, m.GetVersion()) || m.GetTokens() < 0 {
+		return Effect{}
+	}
+	a.Version, a.Prepaid = m.GetVersion(), kcrid.Tokens(m.GetTokens())
+	return Effect{Kind: Limited, Plan: plan, Tokens: a.Prepaid}
+}
+
 func (l *Ledger) claim(writer kcrid.Incarnation, c *kcrentry.Claim) Effect {
 	plan, want := kcrid.Plan(c.GetPlan()), kcrid.Tokens(c.GetTokens())
 	h := l.holder(writer)
--- /dev/null
+++ b/kernel/kcrbudget/wallet.go
@@ -0,0 +1,455 @@
+package kcrbudget
+
+import (
+	"math"
+	"sync"
+
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+)
+
+// This file defines the wallet: a holder that spends its grants itself, for
+// routers that have no sidecars behind them. Invariants: what is reserved and
+// spent never exceeds the grants that the ledger shows; nobody but the wallet
+// can make its grants smaller, so it needs no fresh view of the ledger, no
+// clock and no lease to spend; what a wallet has not spent when it dies stays
+// out of use, since nothing could prove that it was not spent.
+
+// Wallet holds the escrow of one router for the plans of one bucket. It is
+// safe for concurrent use.
+type Wallet struct {
+	self   kcrid.Incarnation
+	policy Policy
+	fits   func(free, worst kcrid.Tokens) bool
+
+	mu       sync.Mutex
+	ledger   *Ledger
+	outbox   *kcrlog.Outbox
+	ready    bool
+	retired  bool
+	markedAt kcrclock.Time
+	pockets  map[kcrid.Plan]*pocket
+	heard    map[kcrid.Incarnation]kcrclock.Time
+}
+
+// pocket is what the wallet knows of its grant for one plan.
+type pocket struct {
+	limitSeq uint64 // of the newest limit that was put
+	spent    kcrid.Tokens
+	reserved kcrid.Tokens
+	backing  kcrid.Tokens // given back, not confirmed
+	backs    map[uint64]kcrid.Tokens
+	marked   kcrid.Tokens
+	claiming uint64 // sequence of the claim in flight
+	unmetAt  kcrclock.Time
+	unmet    bool
+	rate     float64 // tokens a second, smoothed
+	ratio    float64 // of what is spent to what was reserved, smoothed
+	rateAt   kcrclock.Time
+	arrived  float64 // expected spending since rateAt
+	others   float64 // tokens a second that others spend
+	before   kcrid.Tokens
+}
+
+// Timing of a wallet.
+const (
+	// walletMark is the time between reports of spending, which others size
+	// their claims by.
+	walletMark = kcrclock.Second
+	// walletRate is the time constant of the smoothed demand.
+	walletRate = 3 * kcrclock.Second
+	// rateStep is the time between two updates of the demand.
+	rateStep = 250 * kcrclock.Millisecond
+	// unmetTime is how long a claim that got too little is not repeated.
+	unmetTime = 50 * kcrclock.Millisecond
+	// quietTime is how long a holder may be silent before what it holds is
+	// taken to be out of use.
+	quietTime = 6 * kcrclock.Second
+	// excess is how far above its target a wallet holds on to escrow.
+	excess = 1.5
+	// ratioWeight is the weight of the newest request in the spent ratio.
+	ratioWeight = 0.05
+)
+
+// WalletConfig is what a Wallet is made of. Fits decides whether a reservation
+// fits into what is free.
+type WalletConfig struct {
+	Self        kcrid.Incarnation
+	LedgerRules LedgerRules
+	Policy      Policy
+	Fits        func(free, worst kcrid.Tokens) bool
+}
+
+// Fits tells whether a reservation fits: the rule that holds in production.
+func Fits(free, worst kcrid.Tokens) bool { return free >= worst }
+
+// NewWallet returns a wallet that knows nothing of its bucket. It gives no
+// reservation until Ready is called after the stream was applied to its end.
+func NewWallet(c WalletConfig) *Wallet {
+	return &Wallet{
+		self:    c.Self,
+		policy:  c.Policy,
+		fits:    c.Fits,
+		ledger:  NewLedger(c.LedgerRules),
+		outbox:  kcrlog.NewOutbox(c.Self),
+		pockets: map[kcrid.Plan]*pocket{},
+		heard:   map[kcrid.Incarnation]kcrclock.Time{},
+	}
+}
+
+// Ready tells the wallet that its ledger has reached the end of the stream.
+func (w *Wallet) Ready() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ready = true
+}
+
+// At returns the offset of the last record applied.
+func (w *Wallet) At() kcrid.Offset {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ledger.At()
+}
+
+// Snapshot returns the ledger as of At.
+func (w *Wallet) Snapshot() (kcrid.Offset, []byte, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ledger.Snapshot()
+}
+
+// Restore loads a snapshot of the ledger if it is newer.
+func (w *Wallet) Restore(data []byte) (bool, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ledger.Restore(data)
+}
+
+// Batch returns the records that are not known to be on the stream.
+func (w *Wallet) Batch(limit int) ([][]byte, uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.outbox.Batch(limit)
+}
+
+// Post puts a record of another kind on the stream.
+func (w *Wallet) Post(e *kcrentry.Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outbox.Put(e)
+}
+
+func (w *Wallet) pocket(p kcrid.Plan) *pocket {
+	po, ok := w.pockets[p]
+	if !ok {
+		po = &pocket{backs: map[uint64]kcrid.Tokens{}, ratio: 1}
+		w.pockets[p] = po
+	}
+	return po
+}
+
+func (w *Wallet) free(p kcrid.Plan, po *pocket) kcrid.Tokens {
+	return w.ledger.Grant(w.self, p).Amount - po.backing - po.spent - po.reserved
+}
+
+// others returns what holders that were heard of lately may still spend.
+func (w *Wallet) others(now kcrclock.Time, p kcrid.Plan) (sum kcrid.Tokens) {
+	for name, h := range w.ledger.holders {
+		at, ok := w.heard[name]
+		if g := h.Grants[p]; g != nil && name != w.self && ok && now.Sub(at) < quietTime {
+			sum += g.Amount - g.floor()
+		}
+	}
+	return sum
+}
+
+// Peers returns how many holders, itself included, were heard of lately.
+func (w *Wallet) Peers(now kcrclock.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 1
+	for name, at := range w.heard {
+		if name != w.self && now.Sub(at) < quietTime {
+			n++
+		}
+	}
+	return n
+}
+
+// Carries tells whether this holder is the one that writes snapshots: the first
+// by name of those that were heard of lately.
+func (w *Wallet) Carries(now kcrclock.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, at := range w.heard {
+		if name < w.self && now.Sub(at) < quietTime {
+			return false
+		}
+	}
+	return true
+}
+
+// Unsent tells whether there are records that are not known to be on the
+// stream.
+func (w *Wallet) Unsent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.outbox.Len() > 0
+}
+
+func (w *Wallet) view(now kcrclock.Time, p kcrid.Plan, po *pocket, worst kcrid.Tokens) View {
+	a := w.ledger.Account(p)
+	share := 0.5
+	if po.rate+po.others > 0 {
+		share = po.rate / (po.rate + po.others)
+	}
+	return View{
+		Worst: worst, Rate: po.rate, Share: share, Free: w.free(p, po),
+		Available: a.Available(), Others: w.others(now, p), Prepaid: a.Prepaid,
+	}
+}
+
+// Limit asks for what is prepaid, as of a version of the list, to be on the
+// ledger.
+func (w *Wallet) Limit(p kcrid.Plan, version uint64, tokens kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	po := w.pocket(p)
+	a := w.ledger.Account(p)
+	if version <= max(a.Version, po.limitSeq) || a.Version > 0 && a.Prepaid == tokens {
+		return
+	}
+	po.limitSeq = version
+	w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Limit{Limit: &kcrentry.Limit{
+		Plan: string(p), Version: version, Tokens: int64(tokens),
+	}}})
+}
+
+// Reserve takes the worst case of a request out of what is free. Pending means
+// that escrow is asked for: ask again after the next Apply. UsedUp is proved by
+// the ledger as the wallet knows it.
+func (w *Wallet) Reserve(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) Code {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ready || w.retired {
+		return Unknowable
+	}
+	po := w.pocket(p)
+	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
+	if free := w.free(p, po); w.fits(free, worst) {
+		po.reserved += worst
+		po.arrived += po.ratio * float64(worst)
+		w.refill(now, p, po, 0)
+		return Granted
+	}
+	a := w.ledger.Account(p)
+	if a.Version == 0 {
+		return Unknowable
+	}
+	if a.Available()+w.others(now, p)+w.free(p, po) < worst {
+		return UsedUp
+	}
+	w.refill(now, p, po, worst)
+	return Pending
+}
+
+// Settle ends a reservation at what was spent of it.
+func (w *Wallet) Settle(p kcrid.Plan, worst, used kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	po := w.pocket(p)
+	used = max(0, min(used, worst))
+	po.reserved -= worst
+	po.spent += used
+	if used > 0 {
+		po.ratio += ratioWeight * (float64(used)/float64(worst) - po.ratio)
+	}
+}
+
+// refill claims escrow up to the target, unless a claim is in flight or one got
+// too little a moment ago.
+func (w *Wallet) refill(now kcrclock.Time, p kcrid.Plan, po *pocket, worst kcrid.Tokens) {
+	if po.claiming != 0 || w.retired || po.unmet && now.Sub(po.unmetAt) < unmetTime {
+		return
+	}
+	v := w.view(now, p, po, worst)
+	target := max(w.policy.Target(v), worst)
+	if worst == 0 && float64(v.Free) >= refillBelow*float64(target) {
+		return
+	}
+	want := target - v.Free
+	if want <= 0 || v.Available <= 0 && worst == 0 {
+		return
+	}
+	po.claiming = w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{
+		Plan: string(p), Tokens: int64(want),
+	}}})
+}
+
+// Apply folds one record of the stream.
+func (w *Wallet) Apply(now kcrclock.Time, off kcrid.Offset, e *kcrentry.Entry) Effect {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	eff := w.ledger.Apply(off, e)
+	writer := kcrid.Incarnation(e.GetWriter())
+	w.heard[writer] = now
+	if writer == w.self {
+		w.confirm(now, eff, e)
+		return eff
+	}
+	switch {
+	case eff.Kind == Claimed && eff.Unmet > 0:
+		w.spare(now, eff.Plan, eff.Unmet)
+	case eff.Kind == Limited:
+		if short := -w.ledger.Account(eff.Plan).Available(); short > 0 {
+			w.spare(now, eff.Plan, short)
+		}
+	}
+	return eff
+}
+
+func (w *Wallet) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
+	w.outbox.Confirm(e.GetSeq())
+	switch {
+	case e.GetClaim() != nil:
+		po := w.pocket(kcrid.Plan(e.GetClaim().GetPlan()))
+		if po.claiming == e.GetSeq() {
+			po.claiming = 0
+		}
+		po.unmet = eff.Unmet > 0
+		po.unmetAt = now
+	case e.GetMark() != nil:
+		po := w.pocket(kcrid.Plan(e.GetMark().GetPlan()))
+		po.backing -= po.backs[e.GetSeq()]
+		delete(po.backs, e.GetSeq())
+	}
+}
+
+// spare gives idle escrow to a holder that claimed in vain.
+func (w *Wallet) spare(now kcrclock.Time, p kcrid.Plan, unmet kcrid.Tokens) {
+	po := w.pocket(p)
+	if back := w.policy.Spare(w.view(now, p, po, 0), unmet); back > 0 {
+		w.mark(p, po, back)
+	}
+}
+
+// mark reports the spending of a plan and gives a part of its grant back.
+func (w *Wallet) mark(p kcrid.Plan, po *pocket, back kcrid.Tokens) {
+	po.marked = po.spent
+	seq := w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
+		Plan: string(p), Back: int64(back), Spent: int64(po.spent),
+	}}})
+	if back > 0 {
+		po.backing += back
+		po.backs[seq] = back
+	}
+}
+
+// Tick does what is due: it refills, gives excess back, and reports spending.
+func (w *Wallet) Tick(now kcrclock.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ready || w.retired {
+		return
+	}
+	due := now.Sub(w.markedAt) >= walletMark && w.outbox.Len() == 0
+	for p, po := range w.pockets {
+		po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
+		w.refill(now, p, po, 0)
+		if !due {
+			continue
+		}
+		free := w.free(p, po)
+		keep := kcrid.Tokens(excess * float64(w.policy.Target(w.view(now, p, po, 0))))
+		switch {
+		case free > keep && po.claiming == 0:
+			w.mark(p, po, free-keep)
+		case po.spent != po.marked:
+			w.mark(p, po, 0)
+		}
+	}
+	if due {
+		w.markedAt = now
+	}
+}
+
+// Retire gives back what is not reserved; the wallet gives no reservation any
+// more. Tokens of reservations that end later come back with the next Retire.
+func (w *Wallet) Retire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retired = true
+	for p, po := range w.pockets {
+		if free := w.free(p, po); free > 0 {
+			w.mark(p, po, free)
+		}
+	}
+}
+
+// Holding is the state of one plan at a wallet, for logs and metrics.
+type Holding struct {
+	Plan      kcrid.Plan
+	Free      kcrid.Tokens
+	Reserved  kcrid.Tokens
+	Spent     kcrid.Tokens
+	Available kcrid.Tokens
+	Prepaid   kcrid.Tokens
+}
+
+// Holding returns the state of one plan.
+func (w *Wallet) Holding(p kcrid.Plan) Holding {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := w.ledger.Account(p)
+	po := w.pocket(p)
+	return Holding{Plan: p, Free: w.free(p, po), Reserved: po.reserved, Spent: po.spent, Available: a.Available(), Prepaid: a.Prepaid}
+}
+
+// smooth updates the demand rates.
+func (po *pocket) smooth(now kcrclock.Time, elsewhere kcrid.Tokens) {
+	if po.rateAt == 0 {
+		po.rateAt, po.before = now, elsewhere
+		return
+	}
+	step := now.Sub(po.rateAt)
+	if step < rateStep {
+		return
+	}
+	weight := 1 - math.Exp(-step.Seconds()/walletRate.Seconds())
+	po.rate += weight * (po.arrived/step.Seconds() - po.rate)
+	po.others += weight * (float64(max(0, elsewhere-po.before))/step.Seconds() - po.others)
+	po.rateAt, po.arrived, po.before = now, 0, elsewhere
+}
+
+// Limits of the policy for short outages of the log.
+const (
+	// outageHorizon covers the longest outage that the log has while the demand
+	// doubles in it.
+	outageHorizon = 14 * kcrclock.Second
+	// mostOut is the part of what is left that all holders may have out at
+	// once: what they hold is lost if they die together.
+	mostOut = 0.5
+	// firstShare is the part of what is left that a holder without demand has.
+	firstShare = 0.06
+	// keepTime is the demand that a holder keeps when others are short.
+	keepTime = kcrclock.Second / 2
+)
+
+// ForOutages returns the policy for a log whose outages last seconds, and for
+// holders whose escrow is lost when they die.
+func ForOutages() Policy {
+	return Policy{
+		Target: func(v View) kcrid.Tokens {
+			left := float64(max(0, v.Available+v.Free+v.Others))
+			most := max(mostOut*left*v.Share, firstShare*left)
+			want := max(v.Rate*outageHorizon.Seconds(), firstShare*left)
+			return kcrid.Tokens(min(want, most))
+		},
+		Spare: func(v View, unmet kcrid.Tokens) kcrid.Tokens {
+			keep := kcrid.Tokens(v.Rate * keepTime.Seconds())
+			return max(0, min(unmet, v.Free-keep))
+		},
+	}
+}
--- a/kernel/kcrjson/node.go
+++ b/kernel/kcrjson/node.go
@@ -192,6 +192,21 @@
 	return nil
 }
 
+// Number reads a number between low and high, which may have a fraction.
+func Number(n Node, to *float64, low, high float64) error {
+	want := fmt.Sprintf("a number from %g to %g", low, high)
+	lit, ok := n.value.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '0' {
+		return n.Fault(want, n.kind())
+	}
+	v, err := strconv.ParseFloat(string(lit), 64)
+	if err != nil || v < low || v > high {
+		return n.Fault(want, string(lit))
+	}
+	*to = v
+	return nil
+}
+
 // Bool reads true or false.
 func Bool(n Node, to *bool) error {
 	switch n.kind() {
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -58,8 +58,9 @@
 	next   kcrid.Offset
 	snapAt kcrid.Offset
 	snapOn time.Time
-	every  time.Duration // between snapshots of a stream that changes
-	heard  atomic.Int64  // unix ms of the last read up to the end, or of the start
+	every  time.Duration  // between snapshots of a stream that changes
+	clock  kcrclock.Clock // steady: the time of day can jump
+	heard  atomic.Int64   // time of the last read up to the end, or of the start
 	kick   chan struct{}
 	cancel context.CancelFunc
 	wait   conc.WaitGroup
@@ -71,9 +72,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		log: log, stream: stream, fold: fold, logger: logger, next: fold.At() + 1, cancel: cancel, kick: make(chan struct{}, 1),
-		snapAt: fold.At(), snapOn: time.Now(), every: every,
+		snapAt: fold.At(), snapOn: time.Now(), every: every, clock: kcrclock.Monotonic(),
 	}
-	f.heard.Store(time.Now().UnixMilli())
+	f.heard.Store(int64(f.clock.Now()))
 	f.wait.Go(func() { f.read(ctx) })
 	if fold.Batch != nil || fold.Snapshot != nil {
 		f.wait.Go(func() { f.write(ctx) })
@@ -98,7 +99,7 @@
 
 // Lag returns how long ago the follower knew the end of the stream.
 func (f *Follower) Lag() kcrclock.Duration {
-	return kcrclock.Duration(time.Now().UnixMilli() - f.heard.Load())
+	return f.clock.Now().Sub(kcrclock.Time(f.heard.Load()))
 }
 
 func (f *Follower) read(ctx context.Context) {
@@ -137,7 +138,7 @@
 		f.fold.Apply(r.Offset, e)
 	}
 	if f.next >= page.Next {
-		f.heard.Store(time.Now().UnixMilli())
+		f.heard.Store(int64(f.clock.Now()))
 		if f.fold.Ready != nil {
 			f.fold.Ready()
 		}
--- /dev/null
+++ b/router/kcrgateway/stream.go
@@ -0,0 +1,230 @@
+package kcrgateway
+
+import (
+	"errors"
+	"io"
+	"strconv"
+
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrplace"
+	"kingcuprun.example/link/kcrhttp"
+)
+
+// This file forwards event streams. Invariants: only whole events reach the
+// caller, each once and in order; a stream that ends before its upstream ended
+// it is never given the end of a whole one; a run is gone on with elsewhere
+// only where the route allows it, and after the connection to the run before
+// was closed, which ends it.
+
+// Patience with an engine where another may be tried.
+const (
+	// firstPart is the part of the aim that a stream waits for its first event.
+	firstPart = 0.6
+	// pausePart is the part of the longest pause after which an engine counts as
+	// silent: what is left of it is enough to go on elsewhere.
+	pausePart = 0.55
+	readBuf   = 4096
+)
+
+// stream is the answer to a streamed request, made of one run or several.
+type stream struct {
+	x       *exchange
+	started bool // the caller has the head
+	last    int64
+	events  kcrhttp.Events
+	buf     [readBuf]byte
+	runs    int
+}
+
+// forwardStream makes attempts until a stream has come to its end.
+func (x *exchange) forwardStream() {
+	s := &stream{x: x, last: -1}
+	if n, err := strconv.ParseInt(x.head.Get(x.g.dialect.Resume), 10, 64); err == nil {
+		s.last = n
+	}
+	why := ""
+	for range maxTries {
+		resume := int64(-1)
+		if x.events > 0 {
+			resume = s.last
+		}
+		t, v, reason := x.start(resume)
+		why = reason
+		if t == nil {
+			break
+		}
+		if v == answered {
+			s.runs++
+			if why = s.run(t); why == "" {
+				return
+			}
+		} else if v == unknown {
+			x.ran = true
+			s.runs++
+		}
+		if !x.again(s.runs) {
+			break
+		}
+	}
+	s.fail(why)
+}
+
+// fail ends a stream that did not come to its end.
+func (s *stream) fail(why string) {
+	x := s.x
+	if !s.started {
+		x.fail(why, retrySoon)
+		return
+	}
+	x.close = true
+	x.outcome, x.text = "broken off", why
+	if x.left.Load() {
+		x.outcome = "left"
+	}
+}
+
+// run passes one run on. It returns why it ended early, "" where the caller has
+// its answer.
+func (s *stream) run(t *try) (why string) {
+	x := s.x
+	v, why := t.await(s.until(x.route.Aim, firstPart))
+	if v != answered {
+		x.ran = x.ran || v == unknown
+		t.end(t.resultOf(v, why), why)
+		return why
+	}
+	x.ran = true
+	if t.head.Status >= 300 {
+		return s.other(t)
+	}
+	s.events.Reset()
+	why = s.pump(t)
+	if why == "" {
+		t.end(kcrplace.Served, "")
+		s.finish(t)
+		return ""
+	}
+	t.end(t.resultOf(unknown, why), why)
+	return why
+}
+
+// other passes on an answer that is no stream.
+func (s *stream) other(t *try) (why string) {
+	x := s.x
+	body, err := t.body.ReadAll(maxAnswer)
+	if err != nil {
+		why = readError(err)
+		t.end(t.resultOf(unknown, why), why)
+		return why
+	}
+	t.end(kcrplace.Failed, "status "+strconv.Itoa(t.head.Status))
+	if s.started || x.route.Resumable && x.again(s.runs) {
+		return "the upstream failed"
+	}
+	x.passWhole(t.head, body)
+	return ""
+}
+
+// until returns the moment up to which an event is waited for.
+func (s *stream) until(aim kcrclock.Duration, part float64) kcrclock.Time {
+	x := s.x
+	if !x.route.Resumable || s.runs >= x.route.Attempts || aim <= 0 {
+		return x.deadline
+	}
+	return min(x.deadline, x.g.clock.Now().Add(kcrclock.Duration(part*float64(aim))))
+}
+
+// pump passes events on until the run ends. It returns why it ended early.
+func (s *stream) pump(t *try) (why string) {
+	x := s.x
+	began := false
+	for {
+		switch {
+		case !began:
+			t.readUntil(s.until(x.route.Aim, firstPart))
+		default:
+			t.readUntil(s.until(x.route.Pause, pausePart))
+		}
+		n, err := t.body.Read(s.buf[:])
+		if n > 0 && !began {
+			began = true
+			t.choice.Began(x.g.clock.Now())
+		}
+		s.events.Feed(s.buf[:n])
+		if why := s.deliver(t); why != "" {
+			return why
+		}
+		switch {
+		case errors.Is(err, io.EOF) && s.events.Pending() > 0:
+			return "the stream ended within an event"
+		case errors.Is(err, io.EOF):
+			return ""
+		case err != nil:
+			return readError(err)
+		}
+	}
+}
+
+// deliver writes the whole events that have arrived.
+func (s *stream) deliver(t *try) (why string) {
+	x := s.x
+	c := x.caller
+	out := c.out[:0]
+	if cap(out) < readBuf {
+		out = make([]byte, 0, 2*readBuf)
+	}
+	var data []byte
+	for {
+		ev, ok := s.events.Next()
+		if !ok {
+			break
+		}
+		if ev.ID >= 0 {
+			if ev.ID <= s.last {
+				continue
+			}
+			if s.last >= 0 && ev.ID != s.last+1 {
+				why = "event " + strconv.FormatInt(ev.ID, 10) + " after " + strconv.FormatInt(s.last, 10)
+				break
+			}
+			s.last = ev.ID
+		}
+		x.events++
+		data = append(data, ev.Data...)
+	}
+	if len(data) > 0 {
+		if !s.started {
+			s.started = true
+			x.first = x.g.clock.Now().Sub(x.started)
+			out = x.pass(out, t.head, -1)
+		}
+		if x.head.Old {
+			out = append(out, data...)
+		} else {
+			out = kcrhttp.AppendChunk(out, data)
+		}
+		c.out = out[:0]
+		if c.write(out) != nil {
+			x.left.Store(true)
+			return "the caller left"
+		}
+	}
+	return why
+}
+
+// finish ends a stream that is whole.
+func (s *stream) finish(t *try) {
+	x := s.x
+	x.outcome = outcomeServed
+	c := x.caller
+	out := c.out[:0]
+	if !s.started {
+		out = x.pass(out, t.head, -1)
+	}
+	if !x.head.Old {
+		out = append(out, kcrhttp.LastChunk...)
+	}
+	if len(out) > 0 && c.write(out) != nil {
+		x.outcome, x.close = "left", true
+	}
+}
--- /dev/null
+++ b/router/kcrnode/node.go
@@ -0,0 +1,262 @@
+// Package kcrnode is a router that holds its own escrow and speaks to upstreams
+// itself: it keeps the rules, the membership, the placing table and the wallets
+// up to date, and serves callers through a gateway.
+//
+// What it runs on is fed to it: the log, the configuration, the entries of
+// upstreams. It knows no platform.
+package kcrnode
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"kingcuprun.example/kernel/kcrbudget"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrfleet"
+	"kingcuprun.example/kernel/kcrharm"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrplace"
+	"kingcuprun.example/kernel/kcrrule"
+	"kingcuprun.example/link/kcrdaemon"
+	"kingcuprun.example/router/kcrgateway"
+)
+
+// Config is what a Node is made of.
+type Config struct {
+	Self    kcrid.Incarnation
+	Zone    kcrid.Zone
+	Listen  string // address for callers
+	Dialect kcrgateway.Dialect
+	Log     kcrlog.Log
+	Clock   kcrclock.Clock
+	Logger  *slog.Logger
+	Metrics *prometheus.Registry
+	Escrow  kcrbudget.Policy
+	Weights kcrplace.Weights
+	Retries kcrgateway.RetryLimits
+	Buckets int
+	Snap    kcrclock.Duration
+}
+
+// Node is a running router.
+type Node struct {
+	clock    kcrclock.Clock
+	logger   *slog.Logger
+	rules    *kcrrule.State
+	fleet    *kcrfleet.Fleet
+	table    *kcrplace.Table
+	harm     *kcrharm.Book
+	gateway  *kcrgateway.Gateway
+	buckets  []*bucket
+	escrow   *signal
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	wait     conc.WaitGroup
+}
+
+// Timing of a node.
+const (
+	// tick is the time between looks at what is due.
+	tick = 50 * time.Millisecond
+	// returnTime is how long entries take to come back after an outage.
+	returnTime = 2200 * kcrclock.Millisecond
+	// outageTime is the silence of the store that counts as an outage.
+	outageTime = 900 * kcrclock.Millisecond
+	// maxCrashes is how many upstreams a request may crash.
+	maxCrashes = 2
+	// fewRouters is the number of routers that a lone one takes to share the
+	// retry budget, while it has not heard of others.
+	fewRouters = 3
+	// settleTime is how long the balancer may still send new connections after
+	// the node stops to be ready: two of its looks, a second apart.
+	settleTime = 2300 * time.Millisecond
+)
+
+// New starts a node.
+func New(c Config) (n *Node, err error) {
+	n = &Node{
+		clock:  c.Clock,
+		logger: c.Logger,
+		rules:  kcrrule.NewState(kcrrule.Newer),
+		fleet:  kcrfleet.New(returnTime, outageTime),
+		table:  kcrplace.New(c.Zone, c.Weights),
+		harm:   kcrharm.New(maxCrashes),
+		escrow: newSignal(),
+	}
+	n.gateway, err = kcrgateway.New(kcrgateway.Config{
+		Listen: c.Listen, Dialect: c.Dialect, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
+		Rules: n.rules, Table: n.table, Harm: n.harm, Retries: c.Retries, Routers: n.routers, Crashed: n.crashed,
+		Purse: kcrgateway.Purse{Reserve: n.Reserve, Settle: n.Settle},
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i := range c.Buckets {
+		n.buckets = append(n.buckets, n.newBucket(c, i))
+	}
+	n.observe(c.Metrics)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.wait.Go(func() { kcrdaemon.Every(ctx, tick, func(context.Context) { n.tick() }) })
+	return n, nil
+}
+
+// routers returns how many routers share the retry budget.
+func (n *Node) routers() int {
+	most := 1
+	for _, b := range n.buckets {
+		most = max(most, b.wallet.Peers(n.clock.Now()))
+	}
+	if most == 1 {
+		return fewRouters
+	}
+	return most
+}
+
+// crashed tells the other routers of a request that crashed an upstream.
+func (n *Node) crashed(content kcrid.Content, vm kcrid.VM) {
+	b := n.buckets[0]
+	b.wallet.Post(&kcrentry.Entry{Kind: &kcrentry.Entry_Suspect{Suspect: &kcrentry.Suspect{
+		Content: uint64(content), Server: string(vm),
+	}}})
+	b.follower.Kick()
+}
+
+func (n *Node) tick() {
+	now := n.clock.Now()
+	if gone := n.fleet.Tick(now); len(gone) > 0 {
+		n.logger.Info("upstreams did not come back", "vms", gone)
+		n.update()
+	}
+	if r := n.rules.Rules(); r != nil {
+		n.limit(r)
+	}
+	for _, b := range n.buckets {
+		b.wallet.Tick(now)
+		if b.wallet.Unsent() {
+			b.follower.Kick()
+		}
+	}
+}
+
+// Apply puts a version of the configuration in force, if it is newer.
+func (n *Node) Apply(r *kcrrule.Rules) {
+	if !n.rules.Apply(r) {
+		n.logger.Info("configuration passed over", "version", r.Version, "inforce", n.rules.Rules().Version)
+		return
+	}
+	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services))
+	n.limit(r)
+	n.update()
+}
+
+// Heard tells that the store has answered.
+func (n *Node) Heard() { n.fleet.Heard(n.clock.Now()) }
+
+// Put takes in the entry of an upstream.
+func (n *Node) Put(m kcrfleet.Member) {
+	if n.fleet.Put(n.clock.Now(), m) {
+		n.logger.Info("upstream", "vm", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone),
+			"draining", m.Draining, "born", m.Born, "seq", m.Sequence)
+		n.update()
+	}
+}
+
+// Remove takes in that an entry is gone.
+func (n *Node) Remove(id kcrid.VM) {
+	gone := n.fleet.Remove(n.clock.Now(), id)
+	n.logger.Info("entry removed", "vm", string(id), "gone", gone)
+	n.update()
+}
+
+// Listed takes in the complete list of entries.
+func (n *Node) Listed(ids map[kcrid.VM]bool) {
+	if gone := n.fleet.Listed(n.clock.Now(), ids); len(gone) > 0 {
+		n.logger.Info("upstreams not listed", "vms", gone)
+	}
+	n.update()
+}
+
+// update hands the upstreams that may get work to the table.
+func (n *Node) update() {
+	var ups []kcrplace.Upstream
+	for _, m := range n.fleet.Members() {
+		if !m.Draining {
+			ups = append(ups, kcrplace.Upstream{
+				ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Slots: m.Slots, Born: m.Born, Cold: m.Cold,
+			})
+		}
+	}
+	n.table.Update(n.clock.Now(), ups)
+}
+
+// Ready tells whether the node can serve callers.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.rules.Rules() != nil && n.fleet.Known()
+}
+
+// Stop ends the node without cutting off a request: it is not ready at once,
+// serves what still comes, finishes, and gives its escrow back.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.logger.Info("stopping", "active", n.gateway.Active())
+	n.gateway.Stop(ctx, settleTime)
+	for _, b := range n.buckets {
+		b.wallet.Retire()
+		b.follower.Kick()
+	}
+	n.flush(ctx)
+	n.cancel()
+	for _, b := range n.buckets {
+		b.follower.Close()
+	}
+	n.wait.Wait()
+	n.logger.Info("stopped")
+}
+
+// flush waits until the escrow is back on the ledger.
+func (n *Node) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		unsent := false
+		for _, b := range n.buckets {
+			unsent = unsent || b.wallet.Unsent()
+		}
+		if !unsent {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tick):
+		}
+	}
+}
+
+// observe registers gauges of what the node believes.
+func (n *Node) observe(r *prometheus.Registry) {
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.Active()) })
+	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.Age(n.clock.Now()).Seconds() })
+	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
+		if rules := n.rules.Rules(); rules != nil {
+			return float64(rules.Version)
+		}
+		return 0
+	})
+	gauge("kcr_escrow_free_tokens", "Tokens held and not reserved.", func() (sum float64) {
+		if rules := n.rules.Rules(); rules != nil {
+			for i := range rules.Teams {
+				sum += float64(n.bucketOf(rules.Teams[i].Name).wallet.Holding(kcrid.Plan(rules.Teams[i].Name)).Free)
+			}
+		}
+		return sum
+	})
+}
--- /dev/null
+++ b/router/kcrnode/purse.go
@@ -0,0 +1,123 @@
+package kcrnode
+
+import (
+	"sync"
+	"time"
+
+	"kingcuprun.example/kernel/kcrbudget"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrrule"
+	"kingcuprun.example/link/kcrdaemon"
+)
+
+// This file drives the wallets, one for each bucket of the budgets, and lets
+// requests wait for escrow.
+
+// bucket is a wallet with the follower of its stream.
+type bucket struct {
+	wallet   *kcrbudget.Wallet
+	follower *kcrdaemon.Follower
+}
+
+// staleLog is the age of the log's end beyond which nobody waits for escrow:
+// the log is out of reach.
+const staleLog = 4500 * kcrclock.Millisecond
+
+// signal wakes all who wait. It is safe for concurrent use.
+type signal struct {
+	mu sync.Mutex
+	c  chan struct{}
+}
+
+func newSignal() *signal { return &signal{c: make(chan struct{})} }
+
+// wait returns a channel that is closed at the next call of raise.
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.c
+}
+
+func (s *signal) raise() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.c)
+	s.c = make(chan struct{})
+}
+
+func (n *Node) bucketOf(team kcrid.Team) *bucket {
+	return n.buckets[kcrid.BucketOf(kcrid.Plan(team), uint32(len(n.buckets)))]
+}
+
+// Reserve takes tokens out of a team's budget, and waits for escrow where it
+// may come.
+func (n *Node) Reserve(team kcrid.Team, worst kcrid.Tokens, wait kcrclock.Duration, gone <-chan struct{}) kcrbudget.Code {
+	b := n.bucketOf(team)
+	start := n.clock.Now()
+	var timer *time.Timer
+	for {
+		changed := n.escrow.wait()
+		code := b.wallet.Reserve(n.clock.Now(), kcrid.Plan(team), worst)
+		left := wait - n.clock.Now().Sub(start)
+		if code != kcrbudget.Pending || left <= 0 || b.follower.Lag() > staleLog {
+			return code
+		}
+		b.follower.Kick()
+		if timer == nil {
+			timer = time.NewTimer(left.Std())
+			defer timer.Stop()
+		}
+		select {
+		case <-changed:
+		case <-gone:
+			return code
+		case <-timer.C:
+			return code
+		}
+	}
+}
+
+// Settle ends a reservation.
+func (n *Node) Settle(team kcrid.Team, worst, used kcrid.Tokens) {
+	n.bucketOf(team).wallet.Settle(kcrid.Plan(team), worst, used)
+}
+
+// limit tells the wallets what is prepaid.
+func (n *Node) limit(r *kcrrule.Rules) {
+	for i := range r.Teams {
+		if t := &r.Teams[i]; t.Prepaid >= 0 {
+			n.bucketOf(t.Name).wallet.Limit(kcrid.Plan(t.Name), r.Version, t.Prepaid)
+		}
+	}
+}
+
+// newBucket starts to follow the stream of a bucket.
+func (n *Node) newBucket(c Config, i int) *bucket {
+	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
+		Self: c.Self, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Fits: kcrbudget.Fits,
+	})
+	b := &bucket{wallet: w}
+	b.follower = kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(kcrid.Bucket(i)), kcrdaemon.Fold{
+		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
+			n.note(w.Apply(n.clock.Now(), off, e), off)
+			if s := e.GetSuspect(); s != nil {
+				n.harm.Crashed(kcrid.Content(s.GetContent()), kcrid.VM(s.GetServer()))
+			}
+			n.escrow.raise()
+		},
+		At: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, Ready: w.Ready,
+		Carries: func() bool { return w.Carries(n.clock.Now()) },
+	}, c.Logger, c.Snap.Std())
+	return b
+}
+
+// note logs what a record did to the ledger, but for reports of spending.
+func (n *Node) note(eff kcrbudget.Effect, off kcrid.Offset) {
+	if eff.Kind == kcrbudget.Ignored || eff.Kind == kcrbudget.Marked && eff.Tokens == 0 {
+		return
+	}
+	n.logger.Info("escrow", "what", eff.Kind.String(), "plan", string(eff.Plan), "holder", string(eff.Writer),
+		"tokens", int64(eff.Tokens), "unmet", int64(eff.Unmet), "offset", uint64(off))
+}
