A silent engine is probed before its stream goes on elsewhere

Cause: long prompts of others keep an engine's events apart for 300 ms; streams were resumed after 220 ms, which read 2.4 M shared tokens again and made them late. A bare connection now tells a dead engine from a busy one. A deadline before an answer's head was also taken for a closed connection. Ruled out: longer patience alone, which would keep streams at dead engines.

--- a/link/kcrhttp/body.go
+++ b/link/kcrhttp/body.go
@@ -27,6 +27,7 @@
 	framing framing
 	left    int64 // of the message, or of the chunk
 	inChunk bool  // the CRLF after a chunk is due
+	torn    bool  // a line of the framing was read in part
 	done    bool
 	err     error
 }
@@ -136,6 +137,15 @@
 	return n, err
 }
 
+// Again lets the body be read on after a deadline has passed, and tells whether
+// that is possible: it is not where a line of the framing was read in part.
+func (b *Body) Again() bool {
+	if !b.torn {
+		b.err = nil
+	}
+	return !b.torn
+}
+
 func (b *Body) read(p []byte) (n int, err error) {
 	switch b.framing {
 	case sized:
@@ -216,6 +226,7 @@
 	line, err := b.r.ReadSlice('\n')
 	switch {
 	case err != nil:
+		b.torn = len(line) > 0
 		return "", err
 	case len(line) < 2 || len(line) > maxLine || line[len(line)-2] != '\r':
 		return "", fault(badRequest, "chunk: expected a line that ends with CRLF")
--- a/link/kcrhttp/head.go
+++ b/link/kcrhttp/head.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 )
@@ -88,10 +89,7 @@
 			return "", fault(headTooLong, "header: expected at most %d bytes", limit)
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			if len(long)+len(line) == 0 {
-				return "", ErrQuiet
-			}
-			return "", err
+			return "", headError(err, len(long)+len(line) > 0)
 		}
 		start := len(long) == 0 || long[len(long)-1] == '\n'
 		long = append(long, line...)
@@ -107,6 +105,18 @@
 	}
 }
 
+// headError tells whether a message had begun: one that had can't be read on.
+func headError(err error, begun bool) error {
+	switch {
+	case begun:
+		return fmt.Errorf("%w: %s", io.ErrUnexpectedEOF, err.Error())
+	case errors.Is(err, io.EOF):
+		return ErrQuiet
+	default:
+		return err
+	}
+}
+
 // parseFields reads the header fields of a block.
 func parseFields(block string) (fields []Field, err error) {
 	fields = make([]Field, 0, strings.Count(block, "\n"))
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -182,6 +182,16 @@
 	return unknown, "answers to other requests"
 }
 
+// dead tells whether the upstream takes no connection. One that is busy does.
+func (t *try) dead() bool {
+	conn, err := net.DialTimeout("tcp", t.choice.Addr, probeTime)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
 // judge tells what an answer proves.
 func (t *try) judge(id string) (v verdict, why string) {
 	d := &t.x.g.dialect
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -18,12 +18,17 @@
 
 // Patience with an engine where another may be tried.
 const (
-	// firstPart is the part of the aim that a stream waits for its first event.
-	firstPart = 0.6
-	// pausePart is the part of the longest pause after which an engine counts as
-	// silent: what is left of it is enough to go on elsewhere.
-	pausePart = 0.55
-	readBuf   = 4096
+	// firstPart is the part of the aim after which an engine that sent no event
+	// yet is asked whether it is alive.
+	firstPart = 0.45
+	// pausePart is the part of the longest pause after which an engine that went
+	// silent is asked: what is left of it is enough to go on elsewhere.
+	pausePart = 0.5
+	// hungFactor times the aim or the pause is how long an engine that takes
+	// connections may be silent. Long prompts of others keep one silent for a
+	// while, and to go on elsewhere means to read the prompt again.
+	hungFactor = 2.5
+	readBuf    = 4096
 )
 
 // stream is the answer to a streamed request, made of one run or several.
@@ -87,7 +92,7 @@
 // its answer.
 func (s *stream) run(t *try) (why string) {
 	x := s.x
-	v, why := t.await(s.until(x.route.Aim, firstPart))
+	v, why := s.await(t)
 	if v != answered {
 		x.ran = x.ran || v == unknown
 		t.end(t.resultOf(v, why), why)
@@ -134,18 +139,46 @@
 	return min(x.deadline, x.g.clock.Now().Add(kcrclock.Duration(part*float64(aim))))
 }
 
+// await waits for the head of the answer. An engine that sends none is asked
+// whether it is alive.
+func (s *stream) await(t *try) (v verdict, why string) {
+	until := s.until(s.x.route.Aim, firstPart)
+	if v, why = t.await(until); why != timedOut || until >= s.x.deadline || t.dead() {
+		return v, why
+	}
+	return t.await(s.until(s.x.route.Aim, hungFactor))
+}
+
+// silent tells whether an engine that sent nothing for limit is to be given up:
+// it is dead, or was silent for too long.
+func (s *stream) silent(t *try, since kcrclock.Time, limit kcrclock.Duration) bool {
+	now := s.x.g.clock.Now()
+	hung := kcrclock.Duration(hungFactor * float64(limit))
+	if s.x.left.Load() || now >= s.x.deadline || now.Sub(since) >= hung || t.dead() {
+		return true
+	}
+	t.readUntil(min(s.x.deadline, since.Add(hung)))
+	return false
+}
+
 // pump passes events on until the run ends. It returns why it ended early.
 func (s *stream) pump(t *try) (why string) {
 	x := s.x
 	began := false
 	for {
-		switch {
-		case !began:
-			t.readUntil(s.until(x.route.Aim, firstPart))
-		default:
-			t.readUntil(s.until(x.route.Pause, pausePart))
+		limit, part := x.route.Pause, pausePart
+		if !began {
+			limit, part = x.route.Aim, firstPart
 		}
+		since := x.g.clock.Now()
+		until := s.until(limit, part)
+		t.readUntil(until)
 		n, err := t.body.Read(s.buf[:])
+		if n == 0 && err != nil && until < x.deadline && readError(err) == timedOut && !s.silent(t, since, limit) {
+			if t.body.Again() {
+				n, err = t.body.Read(s.buf[:])
+			}
+		}
 		if n > 0 && !began {
 			began = true
 			t.choice.Began(x.g.clock.Now())
