Routers lend each other escrow, a stop gives it back in time, outages are errors

Cause: refused requests after kills and stops. Ruled out: the balancer; requests came on kept connections.

--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -21,6 +21,7 @@
 // safe for concurrent use.
 type Wallet struct {
 	self   kcrid.Incarnation
+	addr   string
 	policy Policy
 	fits   func(free, worst kcrid.Tokens) bool
 
@@ -30,8 +31,10 @@
 	ready    bool
 	retired  bool
 	markedAt kcrclock.Time
+	helloAt  kcrclock.Time
 	pockets  map[kcrid.Plan]*pocket
 	heard    map[kcrid.Incarnation]kcrclock.Time
+	addrs    map[kcrid.Incarnation]string
 }
 
 // pocket is what the wallet knows of its grant for one plan.
@@ -41,6 +44,8 @@
 	reserved kcrid.Tokens
 	backing  kcrid.Tokens // given back, not confirmed
 	backs    map[uint64]kcrid.Tokens
+	lent     kcrid.Tokens // to other holders, for good
+	borrowed kcrid.Tokens // from other holders, beside the grant
 	marked   kcrid.Tokens
 	claiming uint64 // sequence of the claim in flight
 	unmetAt  kcrclock.Time
@@ -59,14 +64,22 @@
 	// their claims by.
 	walletMark = kcrclock.Second
 	// walletRate is the time constant of the smoothed demand.
-	walletRate = 3 * kcrclock.Second
+	walletRate = 5 * kcrclock.Second
 	// rateStep is the time between two updates of the demand.
 	rateStep = 250 * kcrclock.Millisecond
 	// unmetTime is how long a claim that got too little is not repeated.
-	unmetTime = 50 * kcrclock.Millisecond
+	unmetTime = 150 * kcrclock.Millisecond
 	// quietTime is how long a holder may be silent before what it holds is
 	// taken to be out of use.
 	quietTime = 6 * kcrclock.Second
+	// nearTime is how long a holder is asked for escrow after it was last heard
+	// of; an outage of the log silences all of them.
+	nearTime = 30 * kcrclock.Second
+	// helloTime is the time between two records of a holder's address, well
+	// below the time for which the log keeps them.
+	helloTime = 5 * kcrclock.Second
+	// borrowTime is the demand that is borrowed beside what a request lacks.
+	borrowTime = kcrclock.Second / 2
 	// excess is how far above its target a wallet holds on to escrow.
 	excess = 1.5
 	// ratioWeight is the weight of the newest request in the spent ratio.
@@ -77,6 +90,7 @@
 // fits into what is free.
 type WalletConfig struct {
 	Self        kcrid.Incarnation
+	Addr        string // for calls of other holders, "" for none
 	LedgerRules LedgerRules
 	Policy      Policy
 	Fits        func(free, worst kcrid.Tokens) bool
@@ -90,12 +104,14 @@
 func NewWallet(c WalletConfig) *Wallet {
 	return &Wallet{
 		self:    c.Self,
+		addr:    c.Addr,
 		policy:  c.Policy,
 		fits:    c.Fits,
 		ledger:  NewLedger(c.LedgerRules),
 		outbox:  kcrlog.NewOutbox(c.Self),
 		pockets: map[kcrid.Plan]*pocket{},
 		heard:   map[kcrid.Incarnation]kcrclock.Time{},
+		addrs:   map[kcrid.Incarnation]string{},
 	}
 }
 
@@ -151,7 +167,7 @@
 }
 
 func (w *Wallet) free(p kcrid.Plan, po *pocket) kcrid.Tokens {
-	return w.ledger.Grant(w.self, p).Amount - po.backing - po.spent - po.reserved
+	return w.ledger.Grant(w.self, p).Amount + po.borrowed - po.lent - po.backing - po.spent - po.reserved
 }
 
 // others returns what holders that were heard of lately may still spend.
@@ -295,6 +311,9 @@
 	eff := w.ledger.Apply(off, e)
 	writer := kcrid.Incarnation(e.GetWriter())
 	w.heard[writer] = now
+	if hello := e.GetHello(); hello != nil {
+		w.addrs[writer] = hello.GetAddr()
+	}
 	if writer == w.self {
 		w.confirm(now, eff, e)
 		return eff
@@ -335,11 +354,14 @@
 	}
 }
 
+// drawn is what is gone of the grant: what others lent was drawn from theirs.
+func (po *pocket) drawn() kcrid.Tokens { return max(0, po.spent+po.lent-po.borrowed) }
+
 // mark reports the spending of a plan and gives a part of its grant back.
 func (w *Wallet) mark(p kcrid.Plan, po *pocket, back kcrid.Tokens) {
-	po.marked = po.spent
+	po.marked = po.drawn()
 	seq := w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
-		Plan: string(p), Back: int64(back), Spent: int64(po.spent),
+		Plan: string(p), Back: int64(back), Spent: int64(po.marked),
 	}}})
 	if back > 0 {
 		po.backing += back
@@ -347,6 +369,54 @@
 	}
 }
 
+// Lend gives escrow to another holder, at most what is wanted: it counts as
+// spent here from now on, whether it arrives or not.
+func (w *Wallet) Lend(now kcrclock.Time, p kcrid.Plan, want kcrid.Tokens) kcrid.Tokens {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ready || want <= 0 {
+		return 0
+	}
+	po := w.pocket(p)
+	give := w.policy.Spare(w.view(now, p, po, 0), want)
+	po.lent += give
+	return give
+}
+
+// Borrow takes in what another holder has lent.
+func (w *Wallet) Borrow(p kcrid.Plan, tokens kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pocket(p).borrowed += tokens
+}
+
+// Short returns how much a request of a plan lacks, and some more so that the
+// next ones need not ask.
+func (w *Wallet) Short(p kcrid.Plan, worst kcrid.Tokens) kcrid.Tokens {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	po := w.pocket(p)
+	return max(0, worst-w.free(p, po)) + kcrid.Tokens(po.rate*borrowTime.Seconds())
+}
+
+// Peer is another holder that takes calls.
+type Peer struct {
+	Holder kcrid.Incarnation
+	Addr   string
+}
+
+// Near returns the holders that were heard of lately, and where.
+func (w *Wallet) Near(now kcrclock.Time) (out []Peer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, addr := range w.addrs {
+		if name != w.self && now.Sub(w.heard[name]) < nearTime {
+			out = append(out, Peer{Holder: name, Addr: addr})
+		}
+	}
+	return out
+}
+
 // Tick does what is due: it refills, gives excess back, and reports spending.
 func (w *Wallet) Tick(now kcrclock.Time) {
 	w.mu.Lock()
@@ -354,6 +424,10 @@
 	if !w.ready || w.retired {
 		return
 	}
+	if w.addr != "" && (w.helloAt == 0 || now.Sub(w.helloAt) >= helloTime) {
+		w.helloAt = max(now, 1)
+		w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Hello{Hello: &kcrentry.Hello{Addr: w.addr}}})
+	}
 	due := now.Sub(w.markedAt) >= walletMark && w.outbox.Len() == 0
 	for p, po := range w.pockets {
 		po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
@@ -366,7 +440,7 @@
 		switch {
 		case free > keep && po.claiming == 0:
 			w.mark(p, po, free-keep)
-		case po.spent != po.marked:
+		case po.drawn() != po.marked:
 			w.mark(p, po, 0)
 		}
 	}
@@ -427,12 +501,12 @@
 const (
 	// outageHorizon covers the longest outage that the log has while the demand
 	// doubles in it.
-	outageHorizon = 14 * kcrclock.Second
+	outageHorizon = 12 * kcrclock.Second
 	// mostOut is the part of what is left that all holders may have out at
 	// once: what they hold is lost if they die together.
-	mostOut = 0.9
+	mostOut = 0.4
 	// firstShare is the part of what is left that a holder without demand has.
-	firstShare = 0.06
+	firstShare = 0.05
 	// keepTime is the demand that a holder keeps when others are short.
 	keepTime = kcrclock.Second / 2
 )
--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -38,21 +38,21 @@
 
 // Fleet is the membership. It is safe for concurrent use.
 type Fleet struct {
-	graceTime  kcrclock.Duration
-	outageTime kcrclock.Duration
+	graceTime kcrclock.Duration
 
 	mu      sync.Mutex
 	members map[kcrid.VM]*state
 	gone    map[kcrid.VM]int64 // Born of those that left
 	heard   kcrclock.Time      // of the store
 	started bool
+	lost    bool
 	until   kcrclock.Time // missing entries count until then
 }
 
-// New returns an empty fleet. After the store was not heard of for outage,
-// missing entries count for grace.
-func New(grace, outage kcrclock.Duration) *Fleet {
-	return &Fleet{graceTime: grace, outageTime: outage, members: map[kcrid.VM]*state{}, gone: map[kcrid.VM]int64{}}
+// New returns an empty fleet. After the store was lost, missing entries count
+// for grace.
+func New(grace kcrclock.Duration) *Fleet {
+	return &Fleet{graceTime: grace, members: map[kcrid.VM]*state{}, gone: map[kcrid.VM]int64{}}
 }
 
 // Heard tells that the store has answered with all changes up to now. Call it
@@ -60,18 +60,39 @@
 func (f *Fleet) Heard(now kcrclock.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.started && now.Sub(f.heard) >= f.outageTime {
+	if f.lost {
 		f.until = now.Add(f.graceTime)
 	}
-	f.started = true
+	f.started, f.lost = true, false
 	f.heard = now
 }
 
+// Lost tells that the store does not answer.
+func (f *Fleet) Lost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = true
+}
+
+// Borrow takes in the members that another process knows, where the store was
+// never heard of.
+func (f *Fleet) Borrow(members []Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.started || len(f.members) > 0 {
+		return false
+	}
+	for _, m := range members {
+		f.members[m.ID] = &state{member: m}
+	}
+	return len(members) > 0
+}
+
 // Known tells whether the store was ever heard of.
 func (f *Fleet) Known() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.started
+	return f.started || len(f.members) > 0
 }
 
 // Age returns how long ago the store was heard of.
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -183,14 +183,18 @@
 
 // Stop ends the gateway without cutting off a request. For settle, new
 // requests are taken as before, since the balancer goes on sending them; then
-// each answer closes its connection. It returns when nothing is under way, or
-// when the context ends.
+// idle connections end, and each answer ends its own. It returns when nothing
+// is under way, or when the context ends.
 func (g *Gateway) Stop(ctx context.Context, settle time.Duration) {
 	sleep(ctx, settle)
 	g.stopping.Store(true)
-	for ctx.Err() == nil && g.underWay() > 0 {
+	for ctx.Err() == nil && g.endIdle() > 0 {
 		sleep(ctx, stopPoll)
 	}
+}
+
+// Close ends all connections.
+func (g *Gateway) Close() {
 	_ = g.listener.Close()
 	g.mu.Lock()
 	for conn := range g.conns {
@@ -203,16 +207,19 @@
 // stopPoll is the time between looks at what is under way.
 const stopPoll = 20 * time.Millisecond
 
-// underWay returns the number of connections with a request under way.
-func (g *Gateway) underWay() (n int) {
+// endIdle ends the connections without a request under way, and returns the
+// number of the others.
+func (g *Gateway) endIdle() (busy int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, on := range g.conns {
+	for conn, on := range g.conns {
 		if on {
-			n++
+			busy++
+			continue
 		}
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	return n
+	return busy
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -18,6 +18,7 @@
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
+	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrfleet"
 	"kingcuprun.example/kernel/kcrharm"
 	"kingcuprun.example/kernel/kcrid"
@@ -25,6 +26,7 @@
 	"kingcuprun.example/kernel/kcrplace"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrdaemon"
+	"kingcuprun.example/link/kcrlink"
 	"kingcuprun.example/router/kcrgateway"
 )
 
@@ -33,6 +35,10 @@
 	Self    kcrid.Incarnation
 	Zone    kcrid.Zone
 	Listen  string // address for callers
+	Control string // address for other routers
+	Peers   []string
+	// Decode reads the configuration as the operator wrote it.
+	Decode  func([]byte) (*kcrrule.Rules, error)
 	Dialect kcrgateway.Dialect
 	Log     kcrlog.Log
 	Clock   kcrclock.Clock
@@ -56,19 +62,27 @@
 	gateway  *kcrgateway.Gateway
 	buckets  []*bucket
 	escrow   *signal
+	pool     *kcrlink.Pool
+	server   *kcrlink.Server
+	decode   func([]byte) (*kcrrule.Rules, error)
+	known    atomic.Pointer[known]
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	wait     conc.WaitGroup
 }
 
+// known is the configuration in force as the operator wrote it.
+type known struct {
+	version uint64
+	raw     []byte
+}
+
 // Timing of a node.
 const (
 	// tick is the time between looks at what is due.
 	tick = 50 * time.Millisecond
 	// returnTime is how long entries take to come back after an outage.
 	returnTime = 2200 * kcrclock.Millisecond
-	// outageTime is the silence of the store that counts as an outage.
-	outageTime = 900 * kcrclock.Millisecond
 	// maxCrashes is how many upstreams a request may crash.
 	maxCrashes = 2
 	// fewRouters is the number of routers that a lone one takes to share the
@@ -85,10 +99,17 @@
 		clock:  c.Clock,
 		logger: c.Logger,
 		rules:  kcrrule.NewState(kcrrule.Newer),
-		fleet:  kcrfleet.New(returnTime, outageTime),
+		fleet:  kcrfleet.New(returnTime),
 		table:  kcrplace.New(c.Zone, c.Weights),
 		harm:   kcrharm.New(maxCrashes),
 		escrow: newSignal(),
+		pool:   kcrlink.NewPool(),
+		decode: c.Decode,
+	}
+	if c.Control != "" {
+		if n.server, err = kcrlink.Listen(c.Control, n.call); err != nil {
+			return nil, err
+		}
 	}
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		Listen: c.Listen, Dialect: c.Dialect, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
@@ -104,6 +125,7 @@
 	n.observe(c.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.wait.Go(func() { n.learn(ctx, c.Peers) })
 	n.wait.Go(func() { kcrdaemon.Every(ctx, tick, func(context.Context) { n.tick() }) })
 	return n, nil
 }
@@ -147,19 +169,29 @@
 }
 
 // Apply puts a version of the configuration in force, if it is newer.
-func (n *Node) Apply(r *kcrrule.Rules) {
+func (n *Node) Apply(raw []byte) (err error) {
+	defer kcrerror.Annotate(&err, "configuration")
+	r, err := n.decode(raw)
+	if err != nil {
+		return err
+	}
 	if !n.rules.Apply(r) {
 		n.logger.Info("configuration passed over", "version", r.Version, "inforce", n.rules.Rules().Version)
-		return
+		return nil
 	}
+	n.known.Store(&known{version: r.Version, raw: raw})
 	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services))
 	n.limit(r)
 	n.update()
+	return nil
 }
 
 // Heard tells that the store has answered.
 func (n *Node) Heard() { n.fleet.Heard(n.clock.Now()) }
 
+// Lost tells that the store does not answer.
+func (n *Node) Lost() { n.fleet.Lost() }
+
 // Put takes in the entry of an upstream.
 func (n *Node) Put(m kcrfleet.Member) {
 	if n.fleet.Put(n.clock.Now(), m) {
@@ -203,24 +235,31 @@
 }
 
 // Stop ends the node without cutting off a request: it is not ready at once,
-// serves what still comes, finishes, and gives its escrow back.
+// serves what still comes, finishes, and gives its escrow back before the
+// context ends.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopping.Store(true)
 	n.logger.Info("stopping", "active", n.gateway.Active())
-	n.gateway.Stop(ctx, settleTime)
+	serving := ctx
+	if until, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		serving, cancel = context.WithDeadline(ctx, until.Add(-flushTime))
+		defer cancel()
+	}
+	n.gateway.Stop(serving, settleTime)
 	for _, b := range n.buckets {
 		b.wallet.Retire()
 		b.follower.Kick()
 	}
 	n.flush(ctx)
+	n.logger.Info("stopped", "active", n.gateway.Active())
+	n.gateway.Close()
 	n.cancel()
-	for _, b := range n.buckets {
-		b.follower.Close()
-	}
-	n.wait.Wait()
-	n.logger.Info("stopped")
 }
 
+// flushTime is left of the time for a planned stop to give escrow back.
+const flushTime = 400 * time.Millisecond
+
 // flush waits until the escrow is back on the ledger.
 func (n *Node) flush(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/router/kcrnode/peers.go
@@ -0,0 +1,99 @@
+package kcrnode
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"kingcuprun.example/kernel/kcrfleet"
+	"kingcuprun.example/link/kcrlink"
+	"kingcuprun.example/link/kcrwire"
+)
+
+// This file serves the other routers and asks them: for escrow, and for the
+// configuration and the members where the store is out of reach at the start.
+// What a peer tells never replaces what the store has told.
+
+// belief is what a router tells one that knows nothing yet.
+type belief struct {
+	Config  json.RawMessage   `json:"config"`
+	Members []kcrfleet.Member `json:"members"`
+}
+
+// Timing of learning from peers.
+const (
+	// learnFirst is how long the store has to answer at the start.
+	learnFirst = 400 * time.Millisecond
+	learnPause = 500 * time.Millisecond
+	learnTime  = 300 * time.Millisecond
+)
+
+// call answers a call of another router.
+func (n *Node) call(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
+	var reply *kcrwire.Reply
+	switch k := req.GetKind().(type) {
+	case *kcrwire.Request_Lend:
+		reply = n.lend(k.Lend)
+	case *kcrwire.Request_Lists:
+		reply = n.listed(k.Lists)
+	default:
+		reply = &kcrwire.Reply{Error: "expected lend or lists"}
+	}
+	if err := s.Send(reply); err != nil {
+		n.logger.Info("peer not answered", "err", err.Error())
+	}
+}
+
+// listed tells what this router believes, if it is newer than what the peer has.
+func (n *Node) listed(req *kcrwire.Lists) *kcrwire.Reply {
+	out := &kcrwire.Listed{}
+	known := n.known.Load()
+	if known != nil && known.version > req.GetAt() {
+		state, err := json.Marshal(belief{Config: known.raw, Members: n.fleet.Members()})
+		if err != nil {
+			return &kcrwire.Reply{Error: err.Error()}
+		}
+		out.At, out.State = known.version, state
+	}
+	return &kcrwire.Reply{Kind: &kcrwire.Reply_Listed{Listed: out}}
+}
+
+// learn asks peers until the configuration is known.
+func (n *Node) learn(ctx context.Context, peers []string) {
+	pause(ctx, learnFirst)
+	for i := 0; ctx.Err() == nil && n.rules.Rules() == nil && len(peers) > 0; i++ {
+		n.learnFrom(ctx, peers[i%len(peers)])
+		pause(ctx, learnPause/time.Duration(len(peers)))
+	}
+}
+
+func (n *Node) learnFrom(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, learnTime)
+	defer cancel()
+	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lists{Lists: &kcrwire.Lists{}}})
+	if err != nil || len(reply.GetListed().GetState()) == 0 {
+		return
+	}
+	var b belief
+	if err := json.Unmarshal(reply.GetListed().GetState(), &b); err != nil {
+		n.logger.Warn("belief of a peer ignored", "peer", addr, "err", err.Error())
+		return
+	}
+	if n.fleet.Borrow(b.Members) {
+		n.logger.Info("members learned from a peer", "peer", addr, "members", len(b.Members))
+	}
+	if err := n.Apply(b.Config); err != nil {
+		n.logger.Warn("configuration of a peer ignored", "peer", addr, "err", err.Error())
+		return
+	}
+	n.logger.Info("configuration learned from a peer", "peer", addr, "version", reply.GetListed().GetAt())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -1,6 +1,7 @@
 package kcrnode
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrdaemon"
+	"kingcuprun.example/link/kcrwire"
 )
 
 // This file drives the wallets, one for each bucket of the budgets, and lets
@@ -19,11 +21,10 @@
 type bucket struct {
 	wallet   *kcrbudget.Wallet
 	follower *kcrdaemon.Follower
-}
 
-// staleLog is the age of the log's end beyond which nobody waits for escrow:
-// the log is out of reach.
-const staleLog = 4500 * kcrclock.Millisecond
+	mu     sync.Mutex
+	asking map[kcrid.Plan]kcrclock.Time // when others were last asked to lend
+}
 
 // signal wakes all who wait. It is safe for concurrent use.
 type signal struct {
@@ -61,10 +62,11 @@
 		changed := n.escrow.wait()
 		code := b.wallet.Reserve(n.clock.Now(), kcrid.Plan(team), worst)
 		left := wait - n.clock.Now().Sub(start)
-		if code != kcrbudget.Pending || left <= 0 || b.follower.Lag() > staleLog {
+		if code != kcrbudget.Pending || left <= 0 {
 			return code
 		}
 		b.follower.Kick()
+		n.borrow(b, kcrid.Plan(team), worst)
 		if timer == nil {
 			timer = time.NewTimer(left.Std())
 			defer timer.Stop()
@@ -96,9 +98,9 @@
 // newBucket starts to follow the stream of a bucket.
 func (n *Node) newBucket(c Config, i int) *bucket {
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
-		Self: c.Self, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Fits: kcrbudget.Fits,
+		Self: c.Self, Addr: c.Control, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Fits: kcrbudget.Fits,
 	})
-	b := &bucket{wallet: w}
+	b := &bucket{wallet: w, asking: map[kcrid.Plan]kcrclock.Time{}}
 	b.follower = kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(kcrid.Bucket(i)), kcrdaemon.Fold{
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
 			n.note(w.Apply(n.clock.Now(), off, e), off)
@@ -121,3 +123,57 @@
 	n.logger.Info("escrow", "what", eff.Kind.String(), "plan", string(eff.Plan), "holder", string(eff.Writer),
 		"tokens", int64(eff.Tokens), "unmet", int64(eff.Unmet), "offset", uint64(off))
 }
+
+// Timing of loans.
+const (
+	// lendTime bounds a call for a loan.
+	lendTime = 100 * time.Millisecond
+	// lendPause is the time between two rounds of asking for a plan.
+	lendPause = 100 * kcrclock.Millisecond
+)
+
+// borrow asks the other holders for escrow of a plan, one after the other until
+// one lends.
+func (n *Node) borrow(b *bucket, plan kcrid.Plan, worst kcrid.Tokens) {
+	now := n.clock.Now()
+	b.mu.Lock()
+	last, asked := b.asking[plan]
+	if asked && now.Sub(last) < lendPause {
+		b.mu.Unlock()
+		return
+	}
+	b.asking[plan] = now
+	b.mu.Unlock()
+	want := b.wallet.Short(plan, worst)
+	n.wait.Go(func() {
+		for _, peer := range b.wallet.Near(now) {
+			if got := n.ask(peer, plan, want); got > 0 {
+				b.wallet.Borrow(plan, got)
+				n.escrow.raise()
+				n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", string(peer.Holder), "tokens", int64(got), "wanted", int64(want))
+				return
+			}
+		}
+	})
+}
+
+// ask asks one holder for a loan.
+func (n *Node) ask(peer kcrbudget.Peer, plan kcrid.Plan, want kcrid.Tokens) kcrid.Tokens {
+	ctx, cancel := context.WithTimeout(context.Background(), lendTime)
+	defer cancel()
+	reply, err := n.pool.Call(ctx, peer.Addr, &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: &kcrwire.Lend{
+		Plan: string(plan), Tokens: int64(want),
+	}}})
+	if err != nil {
+		n.logger.Info("no loan", "plan", string(plan), "holder", string(peer.Holder), "err", err.Error())
+		return 0
+	}
+	return kcrid.Tokens(reply.GetLent().GetTokens())
+}
+
+// lend answers another holder.
+func (n *Node) lend(req *kcrwire.Lend) *kcrwire.Reply {
+	plan := kcrid.Plan(req.GetPlan())
+	give := n.bucketOf(kcrid.Team(plan)).wallet.Lend(n.clock.Now(), plan, kcrid.Tokens(req.GetTokens()))
+	return &kcrwire.Reply{Kind: &kcrwire.Reply_Lent{Lent: &kcrwire.Lent{Tokens: int64(give)}}}
+}
