--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -183,11 +183,14 @@
 
 // Stop ends the gateway without cutting off a request. For settle, new
 // requests are taken as before, since the balancer goes on sending them; then
-// idle connections end, and each answer ends its own. It returns when nothing
+// no connection is accepted, idle ones end, and each answer ends its own: where
+// all routers of a zone stop at once, the balancer goes on sending, and what
+// came late would be cut off. It returns when nothing
 // is under way, or when the context ends.
 func (g *Gateway) Stop(ctx context.Context, settle time.Duration) {
 	sleep(ctx, settle)
 	g.stopping.Store(true)
+	_ = g.listener.Close()
 	for ctx.Err() == nil && g.endIdle() > 0 {
 		sleep(ctx, stopPoll)
 	}
@@ -195,7 +198,7 @@
 
 // Close ends all connections.
 func (g *Gateway) Close() {
-	_ = g.listener.Close()
+	_ = g.listener.Close() // closed already by a planned stop
 	g.mu.Lock()
 	for conn := range g.conns {
 		_ = conn.Close()
