A process that runs in the place of a dead one gets back what that can't have spent

A wallet promises with each report how much it draws at most, by the steady clock of its machine; its successor on the same machine and boot closes the old grants at that bound. Ruled out: leases in the store, whose late writes would prove too much; clocks of other machines, which jump; history in engines, which hold none.

--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -42,6 +42,7 @@
 	Amount kcrid.Tokens `json:"amount"`
 	Spent  kcrid.Tokens `json:"spent"`
 	Gone   kcrid.Tokens `json:"gone"`
+	Bound  Bound        `json:"bound"`
 }
 
 func (g *Grant) floor() kcrid.Tokens { return max(g.Spent, g.Gone) }
@@ -68,10 +69,11 @@
 	Fenced
 	Refunded
 	Limited
+	Inherited
 )
 
 // kindNames are the names of the kinds in logs.
-var kindNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded", "limited"}
+var kindNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded", "limited", "inherited"}
 
 // String returns the name of the kind.
 func (k Kind) String() string { return kindNames[k] }
@@ -101,6 +103,8 @@
 	Deposed func(fenced kcrid.Offset) bool
 	// Newer tells whether a limit replaces the one of another version.
 	Newer func(current, version uint64) bool
+	// Heir tells whether a writer runs in the place of a holder.
+	Heir func(writer, holder kcrid.Incarnation) bool
 }
 
 // DefaultLedgerRules returns the rules that hold in production.
@@ -111,6 +115,7 @@
 		Named:   func(credits map[string]kcrid.Tokens, name string) bool { _, ok := credits[name]; return ok },
 		Deposed: func(fenced kcrid.Offset) bool { return fenced != 0 },
 		Newer:   func(current, version uint64) bool { return version > current },
+		Heir:    func(writer, holder kcrid.Incarnation) bool { return writer.VM() == holder.VM() },
 	}
 }
 
@@ -206,6 +211,8 @@
 	switch k := e.GetKind().(type) {
 	case *kcrentry.Entry_Credit:
 		return l.credit(k.Credit)
+	case *kcrentry.Entry_Inherit:
+		return l.inherit(off, writer, k.Inherit)
 	case *kcrentry.Entry_Limit:
 		return l.limit(k.Limit)
 	case *kcrentry.Entry_Claim:
@@ -254,6 +261,23 @@
 	return Effect{Kind: Credited, Plan: plan, Tokens: tokens}
 }
 
+// inherit closes the grants of a holder whose process is proved to be gone,
+// since the writer runs in its place. Its grants that are not named stay out of
+// use.
+func (l *Ledger) inherit(off kcrid.Offset, writer kcrid.Incarnation, m *kcrentry.Inherit) Effect {
+	name := kcrid.Incarnation(m.GetHolder())
+	h, ok := l.holders[name]
+	if !ok || name == writer || l.rules.Deposed(h.Fenced) || !l.rules.Heir(writer, name) {
+		return Effect{}
+	}
+	h.Fenced = off
+	for _, u := range m.GetUsed() {
+		l.settle(h, kcrid.Plan(u.GetPlan()), kcrid.Tokens(u.GetTokens()))
+	}
+	l.bury(name)
+	return Effect{Kind: Inherited, Holder: name}
+}
+
 // limit sets what is prepaid. Available can become negative: what is granted
 // or spent stays so, and nothing more is granted until it is positive again.
 func (l *Ledger) limit(m *kcrentry.Limit) Effect {
@@ -284,6 +308,7 @@
 		h.Grants[plan] = g
 	}
 	g.Amount += got
+	g.Bound = boundOf(c.GetBound())
 	a.Allotted += got
 	return eff
 }
@@ -295,6 +320,7 @@
 		return Effect{}
 	}
 	g.Spent = min(g.Amount, max(g.Spent, kcrid.Tokens(m.GetSpent())))
+	g.Bound = boundOf(m.GetBound())
 	if back < 0 || back > g.Amount-g.floor() {
 		return Effect{Kind: Marked, Plan: plan, Holder: writer}
 	}
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -22,19 +22,21 @@
 type Wallet struct {
 	self   kcrid.Incarnation
 	addr   string
+	boot   Boot
 	policy Policy
 	fits   func(free, worst kcrid.Tokens) bool
 
-	mu       sync.Mutex
-	ledger   *Ledger
-	outbox   *kcrlog.Outbox
-	ready    bool
-	retired  bool
-	markedAt kcrclock.Time
-	helloAt  kcrclock.Time
-	pockets  map[kcrid.Plan]*pocket
-	heard    map[kcrid.Incarnation]kcrclock.Time
-	addrs    map[kcrid.Incarnation]string
+	mu        sync.Mutex
+	ledger    *Ledger
+	outbox    *kcrlog.Outbox
+	startBoot kcrclock.Time
+	ready     bool
+	retired   bool
+	markedAt  kcrclock.Time
+	helloAt   kcrclock.Time
+	pockets   map[kcrid.Plan]*pocket
+	heard     map[kcrid.Incarnation]kcrclock.Time
+	addrs     map[kcrid.Incarnation]string
 }
 
 // pocket is what the wallet knows of its grant for one plan.
@@ -47,7 +49,9 @@
 	lent     kcrid.Tokens // to other holders, for good
 	borrowed kcrid.Tokens // from other holders, beside the grant
 	marked   kcrid.Tokens
-	claiming uint64 // sequence of the claim in flight
+	promises []promise // oldest first
+	raising  uint64    // sequence of a report that lifts the bound
+	claiming uint64    // sequence of the claim in flight
 	unmetAt  kcrclock.Time
 	unmet    bool
 	rate     float64 // tokens a second, smoothed
@@ -62,7 +66,7 @@
 const (
 	// walletMark is the time between reports of spending, which others size
 	// their claims by.
-	walletMark = kcrclock.Second
+	walletMark = 500 * kcrclock.Millisecond
 	// walletRate is the time constant of the smoothed demand.
 	walletRate = 5 * kcrclock.Second
 	// rateStep is the time between two updates of the demand.
@@ -91,6 +95,7 @@
 type WalletConfig struct {
 	Self        kcrid.Incarnation
 	Addr        string // for calls of other holders, "" for none
+	Boot        Boot
 	LedgerRules LedgerRules
 	Policy      Policy
 	Fits        func(free, worst kcrid.Tokens) bool
@@ -103,8 +108,12 @@
 // reservation until Ready is called after the stream was applied to its end.
 func NewWallet(c WalletConfig) *Wallet {
 	return &Wallet{
-		self:    c.Self,
-		addr:    c.Addr,
+		self: c.Self,
+		addr: c.Addr,
+		boot: c.Boot,
+
+		startBoot: c.Boot.Now(),
+
 		policy:  c.Policy,
 		fits:    c.Fits,
 		ledger:  NewLedger(c.LedgerRules),
@@ -119,7 +128,10 @@
 func (w *Wallet) Ready() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ready = true
+	if !w.ready {
+		w.ready = true
+		w.inherit()
+	}
 }
 
 // At returns the offset of the last record applied.
@@ -254,12 +266,18 @@
 	}
 	po := w.pocket(p)
 	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
-	if free := w.free(p, po); w.fits(free, worst) {
+	free := w.free(p, po)
+	capped := po.drawn()+po.reserved+worst > po.cap(now)
+	if w.fits(free, worst) && !capped {
 		po.reserved += worst
 		po.arrived += po.ratio * float64(worst)
 		w.refill(now, p, po, 0)
 		return Granted
 	}
+	if w.fits(free, worst) {
+		w.raise(now, p, po, worst)
+		return Pending
+	}
 	a := w.ledger.Account(p)
 	if a.Version == 0 {
 		return Unknowable
@@ -271,6 +289,13 @@
 	return Pending
 }
 
+// raise lifts the bound of a plan, so that a request that waits fits below it.
+func (w *Wallet) raise(now kcrclock.Time, p kcrid.Plan, po *pocket, worst kcrid.Tokens) {
+	if po.raising == 0 {
+		po.raising = w.mark(now, p, po, 0, worst)
+	}
+}
+
 // Settle ends a reservation at what was spent of it.
 func (w *Wallet) Settle(p kcrid.Plan, worst, used kcrid.Tokens) {
 	w.mu.Lock()
@@ -299,9 +324,11 @@
 	if want <= 0 || v.Available <= 0 && worst == 0 {
 		return
 	}
+	bound := w.promise(now, p, po, worst)
 	po.claiming = w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{
-		Plan: string(p), Tokens: int64(want),
+		Plan: string(p), Tokens: int64(want), Bound: bound.entry(),
 	}}})
+	po.keep(now, po.claiming, bound)
 }
 
 // Apply folds one record of the stream.
@@ -339,10 +366,15 @@
 		}
 		po.unmet = eff.Unmet > 0
 		po.unmetAt = now
+		po.bounded(e.GetSeq(), eff.Tokens > 0)
 	case e.GetMark() != nil:
 		po := w.pocket(kcrid.Plan(e.GetMark().GetPlan()))
 		po.backing -= po.backs[e.GetSeq()]
 		delete(po.backs, e.GetSeq())
+		if po.raising == e.GetSeq() {
+			po.raising = 0
+		}
+		po.bounded(e.GetSeq(), eff.Kind == Marked)
 	}
 }
 
@@ -350,23 +382,27 @@
 func (w *Wallet) spare(now kcrclock.Time, p kcrid.Plan, unmet kcrid.Tokens) {
 	po := w.pocket(p)
 	if back := w.policy.Spare(w.view(now, p, po, 0), unmet); back > 0 {
-		w.mark(p, po, back)
+		w.mark(now, p, po, back, 0)
 	}
 }
 
 // drawn is what is gone of the grant: what others lent was drawn from theirs.
 func (po *pocket) drawn() kcrid.Tokens { return max(0, po.spent+po.lent-po.borrowed) }
 
-// mark reports the spending of a plan and gives a part of its grant back.
-func (w *Wallet) mark(p kcrid.Plan, po *pocket, back kcrid.Tokens) {
+// mark reports the spending of a plan, gives a part of its grant back, and
+// renews its bound with room for a request that waits.
+func (w *Wallet) mark(now kcrclock.Time, p kcrid.Plan, po *pocket, back, worst kcrid.Tokens) (seq uint64) {
 	po.marked = po.drawn()
-	seq := w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
-		Plan: string(p), Back: int64(back), Spent: int64(po.marked),
+	bound := w.promise(now, p, po, worst)
+	seq = w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
+		Plan: string(p), Back: int64(back), Spent: int64(po.marked), Bound: bound.entry(),
 	}}})
+	po.keep(now, seq, bound)
 	if back > 0 {
 		po.backing += back
 		po.backs[seq] = back
 	}
+	return seq
 }
 
 // Lend gives escrow to another holder, at most what is wanted: it counts as
@@ -379,6 +415,7 @@
 	}
 	po := w.pocket(p)
 	give := w.policy.Spare(w.view(now, p, po, 0), want)
+	give = max(0, min(give, po.cap(now)-po.drawn()-po.reserved))
 	po.lent += give
 	return give
 }
@@ -439,9 +476,9 @@
 		keep := kcrid.Tokens(excess * float64(w.policy.Target(w.view(now, p, po, 0))))
 		switch {
 		case free > keep && po.claiming == 0:
-			w.mark(p, po, free-keep)
+			w.mark(now, p, po, free-keep, 0)
 		case po.drawn() != po.marked:
-			w.mark(p, po, 0)
+			w.mark(now, p, po, 0, 0)
 		}
 	}
 	if due {
@@ -451,13 +488,13 @@
 
 // Retire gives back what is not reserved; the wallet gives no reservation any
 // more. Tokens of reservations that end later come back with the next Retire.
-func (w *Wallet) Retire() {
+func (w *Wallet) Retire(now kcrclock.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.retired = true
 	for p, po := range w.pockets {
 		if free := w.free(p, po); free > 0 {
-			w.mark(p, po, free)
+			w.mark(now, p, po, free, 0)
 		}
 	}
 }
--- a/kernel/kcrid/id.go
+++ b/kernel/kcrid/id.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -45,6 +46,16 @@
 // Bucket is a part of the budgets or intents that has a stream of its own.
 type Bucket uint32
 
+// IncarnationOf names one run of a process on a VM.
+func IncarnationOf(vm VM, run string) Incarnation { return Incarnation(string(vm) + "/" + run) }
+
+// VM returns the VM of an incarnation that IncarnationOf named, else the whole
+// name.
+func (i Incarnation) VM() VM {
+	vm, _, _ := strings.Cut(string(i), "/")
+	return VM(vm)
+}
+
 // Call names a request within the fleet.
 type Call struct {
 	Team Team
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -42,6 +42,7 @@
 	Dialect kcrgateway.Dialect
 	Log     kcrlog.Log
 	Clock   kcrclock.Clock
+	Boot    kcrbudget.Boot
 	Logger  *slog.Logger
 	Metrics *prometheus.Registry
 	Escrow  kcrbudget.Policy
@@ -248,7 +249,7 @@
 	}
 	n.gateway.Stop(serving, settleTime)
 	for _, b := range n.buckets {
-		b.wallet.Retire()
+		b.wallet.Retire(n.clock.Now())
 		b.follower.Kick()
 	}
 	n.flush(ctx)
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -98,7 +98,7 @@
 // newBucket starts to follow the stream of a bucket.
 func (n *Node) newBucket(c Config, i int) *bucket {
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
-		Self: c.Self, Addr: c.Control, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Fits: kcrbudget.Fits,
+		Self: c.Self, Addr: c.Control, Boot: c.Boot, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Fits: kcrbudget.Fits,
 	})
 	b := &bucket{wallet: w, asking: map[kcrid.Plan]kcrclock.Time{}}
 	b.follower = kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(kcrid.Bucket(i)), kcrdaemon.Fold{
