--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -58,12 +58,12 @@
 // Limits of bounds.
 const (
 	// boundTime is the demand that a bound leaves besides what is drawn.
-	boundTime = 400 * kcrclock.Millisecond
+	boundTime = 600 * kcrclock.Millisecond
 	// boundRate is the part of the demand by which a bound grows.
-	boundRate = 1.35
+	boundRate = 1.7
 	// boundFloor is the part of what is prepaid by which it grows at least,
 	// each second.
-	boundFloor = 0.002
+	boundFloor = 0.004
 	// maxHeirTime is how long after a process was last heard of another proves
 	// anything about it.
 	maxHeirTime = 20 * kcrclock.Second
