Four fifths of what is left may be out at once; nothing delivered, nothing billed

What is out is lost when all routers lose power together, and no evidence of the platform can bound it: late writes and pausing leases prove too much.

--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -541,7 +541,7 @@
 	outageHorizon = 12 * kcrclock.Second
 	// mostOut is the part of what is left that all holders may have out at
 	// once: what they hold is lost if they die together.
-	mostOut = 0.4
+	mostOut = 0.8
 	// firstShare is the part of what is left that a holder without demand has.
 	firstShare = 0.05
 	// keepTime is the demand that a holder keeps when others are short.
--- a/router/kcrgateway/handle.go
+++ b/router/kcrgateway/handle.go
@@ -184,8 +184,8 @@
 	} else {
 		x.forwardPlain()
 	}
-	if !x.ran {
-		return 0
+	if x.events == 0 {
+		return 0 // nothing was delivered
 	}
 	return x.usage.prompt + min(x.usage.output, kcrid.Tokens(x.events)*x.stride)
 }
