Very long prompts go to engines of their own

All routers agree on an eighth of the engines for them by hashing; what a prompt makes late is part of its cost.

--- a/kernel/kcrplace/table.go
+++ b/kernel/kcrplace/table.go
@@ -9,7 +9,9 @@
 package kcrplace
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,12 +47,14 @@
 	Failure float64 // an upstream that fails every request
 	Slow    float64 // an upstream that takes twice as long as others
 	Home    float64 // part of a shared part that its home is taken to have
+	Pause   float64 // a stream that others make late
+	Apart   float64 // a long prompt beside short ones, or the other way round
 }
 
 // DefaultWeights follow from the users' prices for reading and for bytes
 // between zones, and from the speed at which engines read.
 func DefaultWeights() Weights {
-	return Weights{Byte: 0.015, Busy: 4000, Backlog: 0.5, Failure: 6000, Slow: 400, Home: 0.9}
+	return Weights{Byte: 0.015, Busy: 4000, Backlog: 0.5, Failure: 6000, Slow: 400, Home: 0.9, Pause: 1000, Apart: 2500}
 }
 
 // Need is what a request asks for. Prompt is the whole prompt in tokens, Bytes
@@ -110,6 +114,7 @@
 type upstream struct {
 	Upstream
 	hash     uint64
+	long     bool // takes long prompts
 	inflight int
 	backlog  kcrid.Tokens
 	down     kcrclock.Time
@@ -197,8 +202,39 @@
 		s.byID[u.ID] = e
 		s.upstreams = append(s.upstreams, e)
 	}
+	s.setApart()
 }
 
+// Limits of setting long prompts apart. An engine reads a prompt in chunks
+// between the tokens of all others, so that a long one holds up every stream
+// beside it for longer than a caller's aim allows.
+const (
+	// longTokens is the part of a prompt that nobody shares from which on it
+	// is long.
+	longTokens = 25000
+	// longShare is the part of the engines that long prompts go to, as large
+	// as their part of all tokens that are read.
+	longShare = 0.12
+	// longSeed makes all routers choose the same engines.
+	longSeed = 0x9e3779b97f4a7c15
+)
+
+// setApart chooses the engines for long prompts, by rendezvous hashing.
+func (s *service) setApart() {
+	count := int(longShare * float64(len(s.upstreams)))
+	order := slices.Clone(s.upstreams)
+	slices.SortFunc(order, func(a, b *upstream) int { return cmp.Compare(mix(longSeed^b.hash), mix(longSeed^a.hash)) })
+	for i, u := range order {
+		u.long = i < count
+	}
+}
+
+// apart tells whether there are engines for long prompts.
+func (s *service) apart() bool { return int(longShare*float64(len(s.upstreams))) > 0 }
+
+// long tells whether a prompt is long.
+func (n *Need) long() bool { return len(n.Parts) > 0 && n.Parts[len(n.Parts)-1].Tokens >= longTokens }
+
 // Size returns how many upstreams of a service may be chosen.
 func (t *Table) Size(name kcrid.Service) int {
 	s := t.service(name)
@@ -277,9 +313,9 @@
 		return nil
 	}
 	session := n.Parts[len(n.Parts)-2].ID
-	top := uint64(0)
+	top, long := uint64(0), n.long() && s.apart()
 	for _, u := range s.upstreams {
-		if h := mix(session ^ u.hash); h >= top && now >= u.down {
+		if h := mix(session ^ u.hash); h >= top && now >= u.down && u.long == long {
 			best, top = u, h
 		}
 	}
@@ -310,6 +346,10 @@
 	fill := float64(u.inflight) / float64(max(1, u.Slots))
 	cost += w.Busy * fill * fill
 	cost += w.Backlog * float64(u.backlog)
+	cost += w.Pause * float64(u.inflight) * held(u.backlog+miss)
+	if len(n.Parts) > 0 && u.long != (n.long() && s.apart()) {
+		cost += w.Apart
+	}
 	cost += w.Failure * u.failing(now)
 	if s.latency > 0 && u.latency > s.latency {
 		cost += w.Slow * min(u.latency/s.latency-1, maxSlow) * decay(now.Sub(u.seen))
@@ -320,6 +360,18 @@
 	return cost, miss
 }
 
+// Reading this much at once begins to hold streams up, and holds them up for
+// longer than their aim.
+const (
+	holdFrom = 12000 // tokens
+	holdFull = 28000 // tokens
+)
+
+// held returns the part of the streams beside it that a prompt makes late.
+func held(tokens kcrid.Tokens) float64 {
+	return max(0, min(1, float64(tokens-holdFrom)/(holdFull-holdFrom)))
+}
+
 // maxSlow bounds how slow an upstream counts.
 const maxSlow = 8.0
 
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -130,7 +130,9 @@
 	attempts []attempt
 	first    kcrclock.Duration // to the answer or the first event, 0 before
 	events   int
-	ran      bool // a run may have begun
+	pause    kcrclock.Duration // longest between two events
+	passedAt kcrclock.Time     // of the last event
+	ran      bool              // a run may have begun
 	outcome  string
 	text     string // why
 
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -226,6 +226,7 @@
 		data = append(data, ev.Data...)
 	}
 	if len(data) > 0 {
+		x.passed()
 		if !s.started {
 			s.started = true
 			x.first = x.g.clock.Now().Sub(x.started)
@@ -245,6 +246,15 @@
 	return why
 }
 
+// passed notes when events were passed on.
+func (x *exchange) passed() {
+	now := x.g.clock.Now()
+	if x.passedAt > 0 {
+		x.pause = max(x.pause, now.Sub(x.passedAt))
+	}
+	x.passedAt = now
+}
+
 // finish ends a stream that is whole.
 func (s *stream) finish(t *try) {
 	x := s.x
