--- /dev/null
+++ b/link/kcrhttp/http_test.go
@@ -0,0 +1,221 @@
+package kcrhttp_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"kingcuprun.example/link/kcrhttp"
+)
+
+func reader(s string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(s), 16) }
+
+const limit = 1000
+
+// read reads one request and returns its body, and what follows it.
+func read(s string) (target, body, rest string, err error) {
+	r := reader(s)
+	head, err := kcrhttp.ReadRequest(r, limit)
+	if err != nil {
+		return "", "", "", err
+	}
+	b, err := kcrhttp.RequestBody(r, head)
+	if err != nil {
+		return "", "", "", err
+	}
+	data, err := b.ReadAll(limit)
+	if err != nil {
+		return "", "", "", err
+	}
+	more, err := io.ReadAll(r)
+	return head.Target, string(data), string(more), err
+}
+
+func TestRequests(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ in, target, body, rest string }{
+		{"GET /a HTTP/1.1\r\nHost: h\r\n\r\nrest", "/a", "", "rest"},
+		{"\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", "/a", "", ""},
+		{"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET", "/a", "abc", "GET"},
+		{"POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\nrest", "/a", "abcde", "rest"},
+		{"POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\nrest", "/a", "", "rest"},
+	} {
+		target, body, rest, err := read(c.in)
+		if err != nil || target != c.target || body != c.body || rest != c.rest {
+			t.Errorf("%q: expected %q %q %q, got %q %q %q, %v", c.in, c.target, c.body, c.rest, target, body, rest, err)
+		}
+	}
+}
+
+// TestAmbiguousRequests holds what two parsers could read in two ways.
+func TestAmbiguousRequests(t *testing.T) {
+	t.Parallel()
+	for _, in := range []string{
+		"POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+		"POST /a HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nContent-Length: 0x3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nContent-Length:\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: h\r\n Transfer-Encoding: chunked\r\n\r\n",
+		"GET /a HTTP/1.1\nHost: h\n\n",
+		"GET /a HTTP/1.1\r\nHost: h\n\r\n",
+		"GET /a HTTP/1.1\r\nA: b\rc\r\n\r\n",
+		"GET /a HTTP/1.1\r\nA: b\x00c\r\n\r\n",
+		"GET /a\tb HTTP/1.1\r\n\r\n",
+		"GET  /a HTTP/1.1\r\n\r\n",
+		"GET /a HTTP/1.2\r\n\r\n",
+		"GET /a HTTP/2.0\r\n\r\n",
+		"GET /a\r\n\r\n",
+		": x\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-3\r\nabc\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\nabc\r\n0\r\n\r\n",
+	} {
+		_, _, _, err := read(in)
+		var f *kcrhttp.Fault
+		if !errors.As(err, &f) {
+			t.Errorf("%q: expected a fault, got %v", in, err)
+		}
+	}
+}
+
+func TestLimits(t *testing.T) {
+	t.Parallel()
+	for in, status := range map[string]int{
+		"GET /" + strings.Repeat("a", limit) + " HTTP/1.1\r\n\r\n":                                                   431,
+		"GET / HTTP/1.1\r\nA: " + strings.Repeat("a", limit):                                                         431,
+		"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n":                                                            413,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3ea\r\n" + strings.Repeat("a", 1002) + "\r\n0\r\n\r\n": 413,
+	} {
+		_, _, _, err := read(in)
+		var f *kcrhttp.Fault
+		if !errors.As(err, &f) || f.Status != status {
+			t.Errorf("%.30q: expected status %d, got %v", in, status, err)
+		}
+	}
+}
+
+func response(s string) (body string, err error) {
+	r := reader(s)
+	head, err := kcrhttp.ReadResponse(r, limit)
+	if err != nil {
+		return "", err
+	}
+	b, err := kcrhttp.ResponseBody(r, head, "POST")
+	if err != nil {
+		return "", err
+	}
+	data, err := b.ReadAll(limit)
+	return string(data), err
+}
+
+// TestCutAnswers: an answer that ends early is never whole.
+func TestCutAnswers(t *testing.T) {
+	t.Parallel()
+	for _, in := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+		"HTTP/1.1 200 OK\r\nContent-",
+		"HTTP/1.1 20",
+		"garbage\r\n\r\n",
+		"HTTP/1.1 999 Odd\r\n\r\n",
+	} {
+		if body, err := response(in); err == nil {
+			t.Errorf("%q: expected an error, got the body %q", in, body)
+		}
+	}
+	for in, want := range map[string]string{
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc": "abc",
+		"HTTP/1.1 200 OK\r\n\r\nuntil the end":                                         "until the end",
+		"HTTP/1.1 204 No Content\r\n\r\nxyz":                                           "",
+	} {
+		if body, err := response(in); err != nil || body != want {
+			t.Errorf("%q: expected %q, got %q, %v", in, want, body, err)
+		}
+	}
+}
+
+func TestEventsLeaveWhole(t *testing.T) {
+	t.Parallel()
+	var e kcrhttp.Events
+	var got []string
+	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata: c"
+	for i := range len(stream) {
+		e.Feed([]byte{stream[i]})
+		for ev, ok := e.Next(); ok; ev, ok = e.Next() {
+			got = append(got, string(ev.Data))
+			if want := int64(len(got)); len(got) < 3 && ev.ID != want {
+				t.Errorf("event %q: expected id %d, got %d", ev.Data, want, ev.ID)
+			}
+		}
+	}
+	if want := stream[:strings.Index(stream, "id: 3")]; strings.Join(got, "") != want {
+		t.Fatalf("expected %q, got %q", want, got)
+	}
+	if e.Pending() == 0 {
+		t.Fatal("expected a part of an event to be left")
+	}
+}
+
+func TestForwarded(t *testing.T) {
+	t.Parallel()
+	head, err := kcrhttp.ReadRequest(reader("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\nx-hop: 1\r\nTE: trailers\r\nKey: secret\r\nA: 1\r\n\r\n"), limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, f := range head.Forwarded(func(name string) bool { return strings.EqualFold(name, "key") }) {
+		names = append(names, f.Name)
+	}
+	if got := strings.Join(names, " "); got != "Host A" || head.KeepAlive() {
+		t.Fatalf("expected Host and A and no kept connection, got %q", got)
+	}
+}
+
+// FuzzRequest checks that what is read as one request is read as the same one
+// again when it is written anew.
+func FuzzRequest(f *testing.F) {
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		r := reader(in)
+		head, err := kcrhttp.ReadRequest(r, limit)
+		if err != nil {
+			return
+		}
+		b, err := kcrhttp.RequestBody(r, head)
+		if err != nil {
+			return
+		}
+		body, err := b.ReadAll(limit)
+		if err != nil {
+			return
+		}
+		out := kcrhttp.AppendRequest(nil, head.Method, head.Target, head.Forwarded(func(string) bool { return false }))
+		out = kcrhttp.AppendLength(out, len(body))
+		out = append(append(out, "\r\n"...), body...)
+		target, again, rest, err := read(string(out))
+		if err != nil || target != head.Target || again != string(body) || rest != "" {
+			t.Fatalf("%q: written as %q, read as %q %q, rest %q, %v", in, out, target, again, rest, err)
+		}
+	})
+}
+
+// FuzzResponse checks that no input makes the reader of answers fail badly.
+func FuzzResponse(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(_ *testing.T, in string) { _, _ = response(in) })
+}
