--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -54,8 +54,9 @@
 	claiming uint64    // sequence of the claim in flight
 	unmetAt  kcrclock.Time
 	unmet    bool
-	rate     float64 // tokens a second, smoothed
-	ratio    float64 // of what is spent to what was reserved, smoothed
+	rate     float64       // tokens a second, smoothed
+	ratio    float64       // of what is spent to what was reserved, smoothed
+	rateFrom kcrclock.Time // of the first request
 	rateAt   kcrclock.Time
 	arrived  float64 // expected spending since rateAt
 	others   float64 // tokens a second that others spend
@@ -518,17 +519,20 @@
 	return Holding{Plan: p, Free: w.free(p, po), Reserved: po.reserved, Spent: po.spent, Available: a.Available(), Prepaid: a.Prepaid}
 }
 
-// smooth updates the demand rates.
+// smooth updates the demand rates. A young rate is a plain average.
 func (po *pocket) smooth(now kcrclock.Time, elsewhere kcrid.Tokens) {
-	if po.rateAt == 0 {
-		po.rateAt, po.before = now, elsewhere
+	if po.rateAt == 0 || po.rateFrom == 0 && po.arrived == 0 {
+		po.rateAt, po.before = max(now, 1), elsewhere
 		return
 	}
+	if po.rateFrom == 0 {
+		po.rateFrom = po.rateAt
+	}
 	step := now.Sub(po.rateAt)
 	if step < rateStep {
 		return
 	}
-	weight := 1 - math.Exp(-step.Seconds()/walletRate.Seconds())
+	weight := max(1-math.Exp(-step.Seconds()/walletRate.Seconds()), step.Seconds()/now.Sub(po.rateFrom).Seconds())
 	po.rate += weight * (po.arrived/step.Seconds() - po.rate)
 	po.others += weight * (float64(max(0, elsewhere-po.before))/step.Seconds() - po.others)
 	po.rateAt, po.arrived, po.before = now, 0, elsewhere
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -97,3 +97,11 @@
 	case <-t.C:
 	}
 }
+
+// Control returns the address for other routers, "" if there is none.
+func (n *Node) Control() string {
+	if n.server == nil {
+		return ""
+	}
+	return n.server.Addr()
+}
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -62,11 +62,14 @@
 		changed := n.escrow.wait()
 		code := b.wallet.Reserve(n.clock.Now(), kcrid.Plan(team), worst)
 		left := wait - n.clock.Now().Sub(start)
-		if code != kcrbudget.Pending || left <= 0 {
+		waits := code == kcrbudget.Pending || code == kcrbudget.Unknowable // at the start
+		if !waits || left <= 0 {
 			return code
 		}
 		b.follower.Kick()
-		n.borrow(b, kcrid.Plan(team), worst)
+		if code == kcrbudget.Pending {
+			n.borrow(b, kcrid.Plan(team), worst)
+		}
 		if timer == nil {
 			timer = time.NewTimer(left.Std())
 			defer timer.Stop()
