--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -82,7 +82,7 @@
 }
 
 // promise makes a bound that leaves room for a request that waits.
-func (w *Wallet) promise(now kcrclock.Time, p kcrid.Plan, po *pocket, worst kcrid.Tokens) Bound {
+func (w *Wallet) promise(p kcrid.Plan, po *pocket, worst kcrid.Tokens) Bound {
 	rate := boundRate*po.rate + boundFloor*float64(w.ledger.Account(p).Prepaid)
 	room := kcrid.Tokens(po.rate*boundTime.Seconds()) + worst
 	return Bound{Base: po.drawn() + po.reserved + room, Rate: kcrid.Tokens(rate), Boot: w.boot.Now(), Machine: w.boot.Machine}
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -325,7 +325,7 @@
 	if want <= 0 || v.Available <= 0 && worst == 0 {
 		return
 	}
-	bound := w.promise(now, p, po, worst)
+	bound := w.promise(p, po, worst)
 	po.claiming = w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{
 		Plan: string(p), Tokens: int64(want), Bound: bound.entry(),
 	}}})
@@ -394,7 +394,7 @@
 // renews its bound with room for a request that waits.
 func (w *Wallet) mark(now kcrclock.Time, p kcrid.Plan, po *pocket, back, worst kcrid.Tokens) (seq uint64) {
 	po.marked = po.drawn()
-	bound := w.promise(now, p, po, worst)
+	bound := w.promise(p, po, worst)
 	seq = w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
 		Plan: string(p), Back: int64(back), Spent: int64(po.marked), Bound: bound.entry(),
 	}}})
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -46,7 +46,10 @@
 	writeInline = 8 << 10
 )
 
-// outcome of waiting for the head of an answer.
+// callerLeft is why an attempt ended with its caller.
+const callerLeft = "the caller left"
+
+// verdict is what is known after waiting for the head of an answer.
 type verdict int
 
 const (
@@ -78,7 +81,7 @@
 // there is none to try.
 func (x *exchange) start(last int64) (t *try, v verdict, why string) {
 	if x.left.Load() {
-		return nil, unknown, "the caller left"
+		return nil, unknown, callerLeft
 	}
 	choice := x.g.table.Choose(x.g.clock.Now(), x.need())
 	if choice == nil {
@@ -90,8 +93,8 @@
 		return t, notRun, why
 	}
 	if !x.use(t.conn) {
-		t.end(kcrplace.Abandoned, "the caller left")
-		return t, notRun, "the caller left"
+		t.end(kcrplace.Abandoned, callerLeft)
+		return t, notRun, callerLeft
 	}
 	if v, why = t.write(x.request(choice, last)); v != answered {
 		t.end(kcrplace.Broken, why)
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -64,7 +64,8 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTime.Std()))
 	head, err := kcrhttp.ReadRequest(c.br, limits.Header)
 	if err != nil {
-		return c.refuseFault(err)
+		c.refuse(err)
+		return false
 	}
 	x := &exchange{g: g, caller: c, head: head, started: g.clock.Now(), gone: make(chan struct{})}
 	x.close = !head.KeepAlive()
@@ -73,11 +74,13 @@
 	}
 	body, err := kcrhttp.RequestBody(c.br, head)
 	if err != nil {
-		return c.refuseFault(err)
+		c.refuse(err)
+		return false
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTime))
 	if x.body, err = body.ReadAll(limits.Body); err != nil {
-		return c.refuseFault(err)
+		c.refuse(err)
+		return false
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	g.active.Add(1)
@@ -88,19 +91,18 @@
 	return !x.close && !x.left.Load()
 }
 
-// refuseFault answers a request that breaks the protocol and ends the
-// connection: where the next request begins is not known.
-func (c *caller) refuseFault(err error) bool {
+// refuse answers a request that breaks the protocol; the connection ends, since
+// where the next request begins is not known.
+func (c *caller) refuse(err error) {
 	var f *kcrhttp.Fault
 	if !errors.As(err, &f) {
-		return false
+		return
 	}
 	b := kcrhttp.AppendStatus(c.out[:0], f.Status, reasonOf(f.Status), nil)
 	b = kcrhttp.AppendField(b, "Connection", "close")
 	b = kcrhttp.AppendLength(b, len(f.Text))
 	b = append(b, "\r\n"...)
-	c.write(append(b, f.Text...))
-	return false
+	_ = c.write(append(b, f.Text...)) // the connection ends either way
 }
 
 func (c *caller) write(b []byte) error {
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -254,8 +254,8 @@
 
 func event(i int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i) }
 
-func events(from, to int) (out string) {
-	for i := from; i <= to; i++ {
+func events(to int) (out string) {
+	for i := 1; i <= to; i++ {
 		out += event(i)
 	}
 	return out
@@ -425,7 +425,7 @@
 	})
 	r := newRig(t, u)
 	head, body, err := ask(t, r, "/stream/1", "")
-	if err != nil || body != events(1, 5) || head.Get("X-Signature") != "sig" {
+	if err != nil || body != events(5) || head.Get("X-Signature") != "sig" {
 		t.Fatalf("expected 5 events, got %q %v", body, err)
 	}
 	waitFor(t, "the reservation to be settled", func() bool { _, _, n := r.purse.state(); return n == 1 })
@@ -451,7 +451,7 @@
 	u := newUpstream(t, "a", func(_ int, req request, conn net.Conn) bool { stream(conn, req.id(), 1, 3); return false })
 	other := newUpstream(t, "b", ok)
 	r := newRig(t, u)
-	if _, body, err := ask(t, r, "/stream/1", ""); err == nil || body != events(1, 3) {
+	if _, body, err := ask(t, r, "/stream/1", ""); err == nil || body != events(3) {
 		t.Fatalf("expected 3 events and a cut, got %q %v", body, err)
 	}
 	if len(other.got()) != 0 {
@@ -482,7 +482,7 @@
 		a, b := newUpstream(t, "a", answer), newUpstream(t, "b", answer)
 		r := newRig(t, a, b)
 		_, body, err := ask(t, r, "/resume/1", "")
-		if err != nil || body != events(1, 8) {
+		if err != nil || body != events(8) {
 			t.Errorf("after %q: expected 8 events, got %q %v", tail, body, err)
 		}
 		if n := len(a.got()) + len(b.got()); n != 2 {
@@ -506,7 +506,7 @@
 		return err == nil
 	}
 	r := newRig(t, newUpstream(t, "a", answer), newUpstream(t, "b", answer))
-	if _, body, err := ask(t, r, "/resume/1", ""); err == nil || body != events(1, 3) {
+	if _, body, err := ask(t, r, "/resume/1", ""); err == nil || body != events(3) {
 		t.Fatalf("expected 3 events and a cut, got %q %v", body, err)
 	}
 }
@@ -531,7 +531,7 @@
 	r := newRig(t)
 	r.place(dead, far)
 	_, body, err := ask(t, r, "/resume/1", "")
-	if err != nil || body != events(1, 8) {
+	if err != nil || body != events(8) {
 		t.Fatalf("expected the stream to go on elsewhere, got %q %v", body, err)
 	}
 	slow := newUpstream(t, "a", func(_ int, req request, conn net.Conn) bool {
@@ -543,7 +543,7 @@
 	})
 	r = newRig(t)
 	r.place(slow, far)
-	if _, body, err = ask(t, r, "/resume/1", ""); err != nil || !strings.HasPrefix(body, events(1, 4)) {
+	if _, body, err = ask(t, r, "/resume/1", ""); err != nil || !strings.HasPrefix(body, events(4)) {
 		t.Fatalf("expected the slow engine's stream, got %q %v", body, err)
 	}
 }
@@ -626,7 +626,7 @@
 	done := make(chan error, 1)
 	go func() {
 		_, body, err := ask(t, r, "/stream/1", "")
-		if err == nil && body != events(1, 3) {
+		if err == nil && body != events(3) {
 			err = fmt.Errorf("got %q", body)
 		}
 		done <- err
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -29,14 +29,16 @@
 		if t == nil {
 			break
 		}
-		if v == answered {
+		switch v {
+		case answered:
 			runs++
 			if why = x.plainTry(t, runs); why == "" {
 				return
 			}
-		} else if v == unknown {
+		case unknown:
 			x.ran = true
 			runs++
+		case notRun:
 		}
 		if !x.again(runs) {
 			break
@@ -107,6 +109,6 @@
 		x.outcome = "upstream " + head.Reason
 	}
 	if c.write(b) != nil {
-		x.outcome, x.close = "left", true
+		x.outcome, x.close = outcomeLeft, true
 	}
 }
--- a/router/kcrgateway/reply.go
+++ b/router/kcrgateway/reply.go
@@ -48,7 +48,7 @@
 func (x *exchange) fail(text string, after kcrclock.Duration) {
 	switch {
 	case x.left.Load():
-		x.outcome = "left"
+		x.outcome = outcomeLeft
 		x.text = text
 		x.close = true
 	case !x.ran && x.remaining() > 0:
@@ -133,7 +133,7 @@
 		m.first.WithLabelValues(kind).Observe(x.first.Seconds())
 	}
 	level := slog.LevelInfo
-	if x.outcome != outcomeServed && x.outcome != "left" {
+	if x.outcome != outcomeServed && x.outcome != outcomeLeft {
 		level = slog.LevelWarn
 	}
 	version := uint64(0)
@@ -151,8 +151,12 @@
 		slog.Int64("prompt", int64(x.usage.prompt)), slog.String("tries", tries(x.attempts)))
 }
 
-// outcomeServed is the outcome of a request with a whole answer.
-const outcomeServed = "served"
+// Outcomes of requests in logs and metrics, besides status codes of our own.
+const (
+	outcomeServed = "served"
+	outcomeLeft   = "left"
+	outcomeBroken = "broken off"
+)
 
 func tries(list []attempt) string {
 	var b strings.Builder
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -58,14 +58,16 @@
 		if t == nil {
 			break
 		}
-		if v == answered {
+		switch v {
+		case answered:
 			s.runs++
 			if why = s.run(t); why == "" {
 				return
 			}
-		} else if v == unknown {
+		case unknown:
 			x.ran = true
 			s.runs++
+		case notRun:
 		}
 		if !x.again(s.runs) {
 			break
@@ -82,9 +84,9 @@
 		return
 	}
 	x.close = true
-	x.outcome, x.text = "broken off", why
+	x.outcome, x.text = outcomeBroken, why
 	if x.left.Load() {
-		x.outcome = "left"
+		x.outcome = outcomeLeft
 	}
 }
 
@@ -163,25 +165,11 @@
 
 // pump passes events on until the run ends. It returns why it ended early.
 func (s *stream) pump(t *try) (why string) {
-	x := s.x
-	began := false
-	for {
-		limit, part := x.route.Pause, pausePart
-		if !began {
-			limit, part = x.route.Aim, firstPart
-		}
-		since := x.g.clock.Now()
-		until := s.until(limit, part)
-		t.readUntil(until)
-		n, err := t.body.Read(s.buf[:])
-		if n == 0 && err != nil && until < x.deadline && readError(err) == timedOut && !s.silent(t, since, limit) {
-			if t.body.Again() {
-				n, err = t.body.Read(s.buf[:])
-			}
-		}
+	for began := false; ; {
+		n, err := s.read(t, began)
 		if n > 0 && !began {
 			began = true
-			t.choice.Began(x.g.clock.Now())
+			t.choice.Began(s.x.g.clock.Now())
 		}
 		s.events.Feed(s.buf[:n])
 		if why := s.deliver(t); why != "" {
@@ -198,52 +186,76 @@
 	}
 }
 
+// read reads what has come of a run. An engine that is silent for longer than
+// the first event or the next may take is asked whether it is alive.
+func (s *stream) read(t *try, began bool) (n int, err error) {
+	limit, part := s.x.route.Pause, pausePart
+	if !began {
+		limit, part = s.x.route.Aim, firstPart
+	}
+	since := s.x.g.clock.Now()
+	until := s.until(limit, part)
+	t.readUntil(until)
+	n, err = t.body.Read(s.buf[:])
+	if n > 0 || err == nil || until >= s.x.deadline || readError(err) != timedOut {
+		return n, err
+	}
+	if s.silent(t, since, limit) || !t.body.Again() {
+		return 0, err
+	}
+	return t.body.Read(s.buf[:])
+}
+
 // deliver writes the whole events that have arrived.
 func (s *stream) deliver(t *try) (why string) {
+	data, why := s.take()
+	if len(data) == 0 {
+		return why
+	}
 	x := s.x
 	c := x.caller
 	out := c.out[:0]
 	if cap(out) < readBuf {
 		out = make([]byte, 0, 2*readBuf)
 	}
-	var data []byte
+	x.passed()
+	if !s.started {
+		s.started = true
+		x.first = x.g.clock.Now().Sub(x.started)
+		out = x.pass(out, t.head, -1)
+	}
+	if x.head.Old {
+		out = append(out, data...)
+	} else {
+		out = kcrhttp.AppendChunk(out, data)
+	}
+	c.out = out[:0]
+	if c.write(out) != nil {
+		x.left.Store(true)
+		return callerLeft
+	}
+	return why
+}
+
+// take returns the whole events that the caller does not have yet. An event
+// that does not follow the last one ends the run.
+func (s *stream) take() (data []byte, why string) {
 	for {
 		ev, ok := s.events.Next()
-		if !ok {
-			break
+		switch {
+		case !ok:
+			return data, ""
+		case ev.ID >= 0 && ev.ID <= s.last:
+			continue
+		case ev.ID >= 0 && s.last >= 0 && ev.ID != s.last+1:
+			return data, "event " + strconv.FormatInt(ev.ID, 10) + " after " + strconv.FormatInt(s.last, 10)
 		}
 		if ev.ID >= 0 {
-			if ev.ID <= s.last {
-				continue
-			}
-			if s.last >= 0 && ev.ID != s.last+1 {
-				why = "event " + strconv.FormatInt(ev.ID, 10) + " after " + strconv.FormatInt(s.last, 10)
-				break
-			}
 			s.last = ev.ID
 		}
-		x.events++
+		s.x.events++
 		data = append(data, ev.Data...)
 	}
-	if len(data) > 0 {
-		x.passed()
-		if !s.started {
-			s.started = true
-			x.first = x.g.clock.Now().Sub(x.started)
-			out = x.pass(out, t.head, -1)
-		}
-		if x.head.Old {
-			out = append(out, data...)
-		} else {
-			out = kcrhttp.AppendChunk(out, data)
-		}
-		c.out = out[:0]
-		if c.write(out) != nil {
-			x.left.Store(true)
-			return "the caller left"
-		}
-	}
-	return why
 }
 
 // passed notes when events were passed on.
@@ -268,6 +280,6 @@
 		out = append(out, kcrhttp.LastChunk...)
 	}
 	if len(out) > 0 && c.write(out) != nil {
-		x.outcome, x.close = "left", true
+		x.outcome, x.close = outcomeLeft, true
 	}
 }
