--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -240,6 +240,9 @@
 		g.pool.drop(t.choice.ID, t.choice.Addr)
 	}
 	g.metrics.attempts.WithLabelValues(string(x.service), r.String()).Inc()
+	if t.conn != nil && t.conn.reused && r == kcrplace.Broken {
+		why += ", on a kept connection"
+	}
 	x.attempts = append(x.attempts, attempt{vm: t.choice.ID, result: r, why: why, miss: t.choice.Miss, at: now.Sub(x.started)})
 	if r == kcrplace.Broken && x.content != 0 && x.route.Kind == kcrrule.Stream {
 		g.suspect(x.content, t.choice)
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -135,6 +135,7 @@
 	pause    kcrclock.Duration // longest between two events
 	passedAt kcrclock.Time     // of the last event
 	ran      bool              // a run may have begun
+	failed   *answer           // of an upstream, for want of a better one
 	outcome  string
 	text     string // why
 
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -640,3 +640,21 @@
 		t.Fatal("expected the idle connection to be closed")
 	}
 }
+
+// TestErrorOfAnUpstreamIsPassedOn: where no other upstream serves a request, the
+// error that one answered with is passed on, and not replaced.
+func TestErrorOfAnUpstreamIsPassedOn(t *testing.T) {
+	t.Parallel()
+	sick := func(_ int, req request, conn net.Conn) bool { return reply(conn, req.id(), "500 Sick", "", "sick") }
+	gone := newUpstream(t, "b", ok)
+	_ = gone.listener.Close()
+	for _, path := range []string{"/safe/1", "/resume/1"} {
+		for _, ups := range [][]*upstream{{newUpstream(t, "a", sick)}, {newUpstream(t, "a", sick), gone}} {
+			r := newRig(t, ups...)
+			head, body, err := ask(t, r, path, "")
+			if err != nil || head.Status != 500 || body != "sick" || head.Get("X-Signature") != "sig" {
+				t.Errorf("%s: expected the upstream's error, got %+v %q %v", path, head, body, err)
+			}
+		}
+	}
+}
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -47,6 +47,15 @@
 	x.fail(why, retrySoon)
 }
 
+// answer is a whole answer of an upstream.
+type answer struct {
+	head *kcrhttp.Head
+	body []byte
+}
+
+// upstreamFailed is why an attempt ended with an error of its upstream.
+const upstreamFailed = "the upstream failed"
+
 // again tells whether another attempt may follow.
 func (x *exchange) again(runs int) bool {
 	if x.left.Load() || x.remaining() <= 0 || x.ran && (!x.route.Repeats() || runs >= x.route.Attempts) {
@@ -84,8 +93,9 @@
 	}
 	if t.head.Status >= 500 {
 		t.end(kcrplace.Failed, "")
-		if more && x.again(runs) {
-			return "the upstream failed"
+		if more {
+			x.failed = &answer{t.head, body}
+			return upstreamFailed
 		}
 	} else {
 		t.end(kcrplace.Served, "")
--- a/router/kcrgateway/reply.go
+++ b/router/kcrgateway/reply.go
@@ -43,14 +43,16 @@
 	return false
 }
 
-// fail ends a request that gets no upstream's answer: with a promise where
-// nothing can have run, else without.
+// fail ends a request that no upstream has served: with the error of one that
+// answered, else with a promise where nothing can have run, else without.
 func (x *exchange) fail(text string, after kcrclock.Duration) {
 	switch {
 	case x.left.Load():
 		x.outcome = outcomeLeft
 		x.text = text
 		x.close = true
+	case x.failed != nil:
+		x.passWhole(x.failed.head, x.failed.body)
 	case !x.ran && x.remaining() > 0:
 		x.answer(statusUnavailable, text, after)
 	case x.remaining() <= 0:
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -125,8 +125,9 @@
 		return why
 	}
 	t.end(kcrplace.Failed, "status "+strconv.Itoa(t.head.Status))
-	if s.started || x.route.Resumable && x.again(s.runs) {
-		return "the upstream failed"
+	if s.started || x.route.Resumable {
+		x.failed = &answer{t.head, body}
+		return upstreamFailed
 	}
 	x.passWhole(t.head, body)
 	return ""
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -67,6 +67,7 @@
 	server   *kcrlink.Server
 	decode   func([]byte) (*kcrrule.Rules, error)
 	known    atomic.Pointer[known]
+	blind    atomic.Bool // the store does not tell the configuration
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	wait     conc.WaitGroup
@@ -85,7 +86,7 @@
 	// returnTime is how long entries take to come back after an outage.
 	returnTime = 2200 * kcrclock.Millisecond
 	// maxCrashes is how many upstreams a request may crash.
-	maxCrashes = 2
+	maxCrashes = 3
 	// fewRouters is the number of routers that a lone one takes to share the
 	// retry budget, while it has not heard of others.
 	fewRouters = 3
@@ -107,6 +108,7 @@
 		pool:   kcrlink.NewPool(),
 		decode: c.Decode,
 	}
+	n.blind.Store(true)
 	if c.Control != "" {
 		if n.server, err = kcrlink.Listen(c.Control, n.call); err != nil {
 			return nil, err
@@ -193,6 +195,10 @@
 // Lost tells that the store does not answer.
 func (n *Node) Lost() { n.fleet.Lost() }
 
+// Blind tells whether the store fails to tell the configuration: then peers are
+// asked.
+func (n *Node) Blind(on bool) { n.blind.Store(on) }
+
 // Put takes in the entry of an upstream.
 func (n *Node) Put(m kcrfleet.Member) {
 	if n.fleet.Put(n.clock.Now(), m) {
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -58,19 +58,43 @@
 	return &kcrwire.Reply{Kind: &kcrwire.Reply_Listed{Listed: out}}
 }
 
-// learn asks peers until the configuration is known.
-func (n *Node) learn(ctx context.Context, peers []string) {
+// learn asks peers, one after the other, while the store does not tell the
+// configuration.
+func (n *Node) learn(ctx context.Context, seeds []string) {
 	pause(ctx, learnFirst)
-	for i := 0; ctx.Err() == nil && n.rules.Rules() == nil && len(peers) > 0; i++ {
-		n.learnFrom(ctx, peers[i%len(peers)])
-		pause(ctx, learnPause/time.Duration(len(peers)))
+	for i := 0; ctx.Err() == nil; i++ {
+		peers := n.peers(seeds)
+		if n.blind.Load() && len(peers) > 0 {
+			n.learnFrom(ctx, peers[i%len(peers)])
+		}
+		pause(ctx, learnPause/time.Duration(max(1, len(peers))))
+	}
+}
+
+// peers returns the addresses of other routers: those that were heard of on the
+// log, else those of the settings.
+func (n *Node) peers(seeds []string) (out []string) {
+	for _, p := range n.buckets[0].wallet.Near(n.clock.Now()) {
+		out = append(out, p.Addr)
+	}
+	if len(out) == 0 {
+		return seeds
+	}
+	return out
+}
+
+// version returns that of the configuration in force, 0 before the first.
+func (n *Node) version() uint64 {
+	if known := n.known.Load(); known != nil {
+		return known.version
 	}
+	return 0
 }
 
 func (n *Node) learnFrom(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, learnTime)
 	defer cancel()
-	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lists{Lists: &kcrwire.Lists{}}})
+	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lists{Lists: &kcrwire.Lists{At: n.version()}}})
 	if err != nil || len(reply.GetListed().GetState()) == 0 {
 		return
 	}
