--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -540,9 +540,9 @@
 
 // Limits of the policy for short outages of the log.
 const (
-	// outageHorizon covers most of an outage of eight seconds; the rest is borrowed
-	// from routers with less demand.
-	outageHorizon = 7 * kcrclock.Second
+	// outageHorizon covers an outage of eight seconds and a margin; what one router
+	// lacks in it, it borrows from others.
+	outageHorizon = 9 * kcrclock.Second
 	// mostOut is the part of what is left that all holders may have out at
 	// once: what they hold is lost if they die together.
 	mostOut = 0.8
