--- a/kingcuprun/kcroperate/command.go
+++ b/kingcuprun/kcroperate/command.go
@@ -14,6 +14,7 @@
 
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlist"
+	"kingcuprun.example/kingcuprun/kcrstory"
 	"kingcuprun.example/link/kcrplatform"
 	"kingcuprun.example/link/kcrsettings"
 )
@@ -38,7 +39,7 @@
 		SilenceErrors: true,
 	}
 	root.PersistentFlags().StringVar(&c.settings, "settings", "", "settings file of the deployment")
-	root.AddCommand(c.check(), c.publish(), c.leave(), c.show(), c.explain(), digest())
+	root.AddCommand(c.check(), c.publish(), c.leave(), c.show(), c.explain(), day(), digest())
 	return root
 }
 
@@ -237,11 +238,19 @@
 
 // explain asks every process of the deployment what it decided on a request.
 func (c *command) explain() *cobra.Command {
-	return &cobra.Command{
+	var logs []string
+	cmd := &cobra.Command{
 		Use:   "explain REQUEST",
-		Short: "Show the decisions on a request, by its X-Request-Id",
+		Short: "Show the decisions on a request, by its id: ask the processes, or read their logs",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				log, err := readLogs(cmd, logs)
+				if err != nil {
+					return err
+				}
+				return log.Request(cmd.OutOrStdout(), args[0])
+			}
 			_, s, err := c.load()
 			if err != nil {
 				return err
@@ -265,6 +274,43 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringArrayVar(&logs, "log", nil, "file with log lines of the processes, - for standard input; may be given again")
+	return cmd
+}
+
+// day sums up the logs of a day.
+func day() *cobra.Command {
+	return &cobra.Command{
+		Use:   "day FILE...",
+		Short: "Sum up log lines of the processes: how requests ended and why, the slowest, outages; - for standard input",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			log, err := readLogs(cmd, args)
+			if err != nil {
+				return err
+			}
+			log.Day(cmd.OutOrStdout())
+			return nil
+		},
+	}
+}
+
+// readLogs reads the files, or standard input for "-".
+func readLogs(cmd *cobra.Command, files []string) (log *kcrstory.Log, err error) {
+	var inputs []io.Reader
+	for _, name := range files {
+		if name == "-" {
+			inputs = append(inputs, cmd.InOrStdin())
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = f.Close() }()
+		inputs = append(inputs, f)
+	}
+	return kcrstory.Read(inputs...)
 }
 
 type process struct {
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -311,7 +311,7 @@
 			return
 		}
 		if g.config.Harm.Crashed(content, vm) {
-			g.logger.Info("crash", "content", uint64(content), "vm", string(vm), "count", g.config.Harm.Count(content))
+			g.logger.Info("crash", "content", uint64(content), "id", string(vm), "count", g.config.Harm.Count(content))
 			g.config.Crashed(content, vm)
 		}
 	})
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -157,7 +157,7 @@
 func (n *Node) tick() {
 	now := n.clock.Now()
 	if gone := n.fleet.Tick(now); len(gone) > 0 {
-		n.logger.Info("upstreams did not come back", "vms", gone)
+		n.logger.Info("upstreams did not come back", "ids", gone)
 		n.update()
 	}
 	if r := n.rules.Rules(); r != nil {
@@ -202,7 +202,7 @@
 // Put takes in the entry of an upstream.
 func (n *Node) Put(m kcrfleet.Member) {
 	if n.fleet.Put(n.clock.Now(), m) {
-		n.logger.Info("upstream", "vm", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone),
+		n.logger.Info("upstream", "id", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone),
 			"draining", m.Draining, "born", m.Born, "seq", m.Sequence)
 		n.update()
 	}
@@ -211,14 +211,14 @@
 // Remove takes in that an entry is gone.
 func (n *Node) Remove(id kcrid.VM) {
 	gone := n.fleet.Remove(n.clock.Now(), id)
-	n.logger.Info("entry removed", "vm", string(id), "gone", gone)
+	n.logger.Info("entry removed", "id", string(id), "gone", gone)
 	n.update()
 }
 
 // Listed takes in the complete list of entries.
 func (n *Node) Listed(ids map[kcrid.VM]bool) {
 	if gone := n.fleet.Listed(n.clock.Now(), ids); len(gone) > 0 {
-		n.logger.Info("upstreams not listed", "vms", gone)
+		n.logger.Info("upstreams not listed", "ids", gone)
 	}
 	n.update()
 }
