--- a/kingcuprun/kcroperate/command.go
+++ b/kingcuprun/kcroperate/command.go
@@ -236,7 +236,7 @@
 	return nil
 }
 
-// explain asks every process of the deployment what it decided on a request.
+// explain tells what became of a request, from logs or from the processes.
 func (c *command) explain() *cobra.Command {
 	var logs []string
 	cmd := &cobra.Command{
@@ -251,33 +251,38 @@
 				}
 				return log.Request(cmd.OutOrStdout(), args[0])
 			}
-			_, s, err := c.load()
-			if err != nil {
-				return err
-			}
-			found := false
-			for _, p := range processes(s) {
-				lines, err := ask(p.admin, args[0])
-				if err != nil {
-					continue
-				}
-				for _, line := range lines {
-					found = true
-					if err := say(cmd, "%s: %s\n", p.vm, line); err != nil {
-						return err
-					}
-				}
-			}
-			if !found {
-				return fmt.Errorf("no process remembers request %q", args[0])
-			}
-			return nil
+			return c.askAll(cmd, args[0])
 		},
 	}
 	cmd.Flags().StringArrayVar(&logs, "log", nil, "file with log lines of the processes, - for standard input; may be given again")
 	return cmd
 }
 
+// askAll asks every process of the deployment what it remembers of a request.
+func (c *command) askAll(cmd *cobra.Command, request string) error {
+	_, s, err := c.load()
+	if err != nil {
+		return err
+	}
+	found := false
+	for _, p := range processes(s) {
+		lines, err := ask(p.admin, request)
+		if err != nil {
+			continue
+		}
+		for _, line := range lines {
+			found = true
+			if err := say(cmd, "%s: %s\n", p.vm, line); err != nil {
+				return err
+			}
+		}
+	}
+	if !found {
+		return fmt.Errorf("no process remembers request %q", request)
+	}
+	return nil
+}
+
 // day sums up the logs of a day.
 func day() *cobra.Command {
 	return &cobra.Command{
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -49,6 +49,8 @@
 	Weights kcrplace.Weights
 	Retries kcrgateway.RetryLimits
 	Buckets int
+	// Dropped returns how many lines of the log were left out.
+	Dropped func() int64
 	Snap    kcrclock.Duration
 }
 
@@ -125,7 +127,7 @@
 	for i := range c.Buckets {
 		n.buckets = append(n.buckets, n.newBucket(c, i))
 	}
-	n.observe(c.Metrics)
+	n.observe(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.wait.Go(func() { n.learn(ctx, c.Peers) })
@@ -285,10 +287,13 @@
 }
 
 // observe registers gauges of what the node believes.
-func (n *Node) observe(r *prometheus.Registry) {
+func (n *Node) observe(c Config) {
 	gauge := func(name, help string, value func() float64) {
-		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+		c.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
+	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
+	}, func() float64 { return float64(c.Dropped()) }))
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.Active()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.Age(n.clock.Now()).Seconds() })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
