A connection that outlived the start of a stop takes no further request

Ruled out: new connections, which are not accepted any more. TestStopTakesNoFurtherRequest fails without the change.

--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -88,7 +88,7 @@
 	stop := x.watch()
 	x.handle()
 	stop()
-	return !x.close && !x.left.Load()
+	return !x.close && !x.left.Load() && !g.stopping.Load()
 }
 
 // refuse answers a request that breaks the protocol; the connection ends, since
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -658,3 +658,32 @@
 		}
 	}
 }
+
+// TestStopTakesNoFurtherRequest: a connection whose answer began before the stop
+// takes no request after it, which the end of the time would cut off.
+func TestStopTakesNoFurtherRequest(t *testing.T) {
+	t.Parallel()
+	u := newUpstream(t, "u", func(n int, req request, conn net.Conn) bool {
+		if n > 1 {
+			return ok(n, req, conn)
+		}
+		stream(conn, req.id(), 1, 2)
+		time.Sleep(300 * time.Millisecond)
+		_, err := io.WriteString(conn, kcrhttp.LastChunk)
+		return err == nil
+	})
+	r := newRig(t, u)
+	conn := dial(t, r)
+	_, first := text("/stream/1", "", "body")
+	_, second := text("/once/2", "", "body")
+	_, _ = io.WriteString(conn, first+second)
+	waitFor(t, "the request at the upstream", func() bool { return u.seen.Load() == 1 })
+	go r.gateway.Stop(t.Context(), 0)
+	br := bufio.NewReader(conn)
+	if _, body, err := readAnswer(br); err != nil || body != events(2) {
+		t.Fatalf("expected the whole stream, got %q %v", body, err)
+	}
+	if _, _, err := readAnswer(br); err == nil || u.seen.Load() != 1 {
+		t.Fatalf("expected the second request not to be taken, got %v and %d requests", err, u.seen.Load())
+	}
+}
