--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -73,6 +73,7 @@
 	metrics  *metrics
 	listener net.Listener
 	stopping atomic.Bool
+	end      atomic.Int64 // of the time for a planned stop, on the gateway's clock
 	active   atomic.Int64
 	wait     conc.WaitGroup
 	stop     context.CancelFunc
@@ -182,15 +183,24 @@
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
 // Stop ends the gateway without cutting off a request. For settle, new
-// requests are taken as before, since the balancer goes on sending them; then
-// no connection is accepted, idle ones end, and each answer ends its own: where
-// all routers of a zone stop at once, the balancer goes on sending, and what
-// came late would be cut off. It returns when nothing
-// is under way, or when the context ends.
+// requests are taken as before, since the balancer goes on sending them; where
+// all routers of a zone stop at once, it does so even longer. So after that,
+// requests are taken that are sure to end in time, others are told to come back,
+// and each answer ends its connection. It returns when nothing is under way, or
+// when the context ends.
 func (g *Gateway) Stop(ctx context.Context, settle time.Duration) {
 	sleep(ctx, settle)
+	if end, ok := ctx.Deadline(); ok {
+		g.end.Store(int64(g.clock.Now()) + time.Until(end).Milliseconds())
+	}
 	g.stopping.Store(true)
+	g.drain(ctx)
 	_ = g.listener.Close()
+	g.drain(ctx) // of what was accepted just before
+}
+
+// drain waits until no request is under way.
+func (g *Gateway) drain(ctx context.Context) {
 	for ctx.Err() == nil && g.endIdle() > 0 {
 		sleep(ctx, stopPoll)
 	}
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -687,3 +688,42 @@
 		t.Fatalf("expected the second request not to be taken, got %v and %d requests", err, u.seen.Load())
 	}
 }
+
+// TestStopTakesWhatEndsInTime: while a long answer holds a stop up, requests are
+// served that are sure to end before it, and others are told to come back.
+func TestStopTakesWhatEndsInTime(t *testing.T) {
+	t.Parallel()
+	u := newUpstream(t, "u", func(n int, req request, conn net.Conn) bool {
+		if n > 1 {
+			return ok(n, req, conn)
+		}
+		stream(conn, req.id(), 1, 2)
+		time.Sleep(500 * time.Millisecond)
+		_, err := io.WriteString(conn, kcrhttp.LastChunk)
+		return err == nil
+	})
+	r := newRig(t, u)
+	done := make(chan string, 1)
+	go func() { _, body, _ := ask(t, r, "/stream/1", ""); done <- body }()
+	waitFor(t, "the request at the upstream", func() bool { return u.seen.Load() == 1 })
+	ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
+	defer cancel()
+	go r.gateway.Stop(ctx, 0)
+	time.Sleep(100 * time.Millisecond)
+	short := func(deadline string) (*kcrhttp.Head, error) {
+		conn := dial(t, r)
+		_, out := text("/once/1", "", "body")
+		_, _ = io.WriteString(conn, strings.Replace(out, "X-Deadline: 1500", "X-Deadline: "+deadline, 1))
+		head, _, err := readAnswer(bufio.NewReader(conn))
+		return head, err
+	}
+	if head, err := short("300"); err != nil || head.Status != 200 || head.KeepAlive() {
+		t.Errorf("a short request: expected it to be served, and the connection to end, got %+v %v", head, err)
+	}
+	if head, err := short("1500"); err != nil || head.Status != 503 || !head.Has("Retry-After") {
+		t.Errorf("a long request: expected 503 with a time to come back, got %+v %v", head, err)
+	}
+	if body := <-done; body != events(2) {
+		t.Errorf("expected the whole stream, got %q", body)
+	}
+}
--- a/router/kcrgateway/handle.go
+++ b/router/kcrgateway/handle.go
@@ -86,6 +86,9 @@
 			return x.refuse(statusUnavailable, "larger than the memory of an upstream", retryNever)
 		}
 	}
+	if x.g.stopping.Load() && !x.endsInTime() {
+		return x.refuse(statusUnavailable, "the router stops", retrySoon)
+	}
 	if len(x.body) > 0 {
 		x.content = kcrid.ContentOf(x.head.Target+" "+x.teamName(), x.body)
 		if x.g.config.Harm.Banned(x.content) {
@@ -96,6 +99,20 @@
 	return true
 }
 
+// tokenTime is how long an engine takes for one token at most, when it is not
+// overloaded.
+const tokenTime = 10 * kcrclock.Millisecond
+
+// endsInTime tells whether the answer to a request is sure to end before a
+// planned stop does.
+func (x *exchange) endsInTime() bool {
+	need := x.remaining()
+	if x.usage.known {
+		need = min(need, x.route.Aim+kcrclock.Duration(x.usage.output)*tokenTime)
+	}
+	return x.g.clock.Now().Add(need) < kcrclock.Time(x.g.end.Load())
+}
+
 func mixID(id string) uint64 { return xxhash.Sum64String(id) }
 
 func (x *exchange) teamName() string {
