--- a/router/kcrgateway/handle.go
+++ b/router/kcrgateway/handle.go
@@ -51,9 +51,27 @@
 // metered tells whether the request draws on a budget.
 func (x *exchange) metered() bool { return x.usage.known && x.team != nil && x.team.Prepaid >= 0 }
 
-// admit finds the route, the team and the service. It answers and returns
-// false where the request can't go on.
+// admit finds the route, the team and the service, and checks that the request
+// may run. It answers and returns false where the request can't go on.
 func (x *exchange) admit() bool {
+	if !x.match() || !x.measure() {
+		return false
+	}
+	if x.g.stopping.Load() && !x.endsInTime() {
+		return x.refuse(statusUnavailable, "the router stops", retrySoon)
+	}
+	if len(x.body) > 0 {
+		x.content = kcrid.ContentOf(x.head.Target+" "+x.teamName(), x.body)
+		if x.g.config.Harm.Banned(x.content) {
+			return x.refuse(statusUnavailable, "the request crashes upstreams", retryNever)
+		}
+	}
+	x.g.window(x.service).Request(x.started)
+	return true
+}
+
+// match finds the route and the team.
+func (x *exchange) match() bool {
 	d := &x.g.dialect
 	x.id = x.head.Get(d.ID)
 	x.rules = x.g.rules.Rules()
@@ -72,30 +90,27 @@
 	if x.id == "" {
 		return x.refuse(statusBadRequest, "expected a header "+d.ID, 0)
 	}
+	return true
+}
+
+// measure reads how long the request may take and how large it is.
+func (x *exchange) measure() bool {
+	d := &x.g.dialect
 	if !x.timed() {
 		return x.refuse(statusBadRequest, "header "+d.Deadline+": expected milliseconds", 0)
 	}
-	x.service = x.route.Pick(mixID(x.id))
+	x.service = x.route.Pick(xxhash.Sum64String(x.id))
 	service := x.rules.Services[x.service]
-	if x.route.Kind == kcrrule.Stream && service != nil && service.KV > 0 {
-		if !x.readUsage() {
-			return x.refuse(statusBadRequest, "header "+d.Usage+": expected PROMPT,OUTPUT", 0)
-		}
-		x.stride = service.Stride
-		if x.usage.worst() > service.KV {
-			return x.refuse(statusUnavailable, "larger than the memory of an upstream", retryNever)
-		}
+	if x.route.Kind != kcrrule.Stream || service == nil || service.KV == 0 {
+		return true
 	}
-	if x.g.stopping.Load() && !x.endsInTime() {
-		return x.refuse(statusUnavailable, "the router stops", retrySoon)
+	if !x.readUsage() {
+		return x.refuse(statusBadRequest, "header "+d.Usage+": expected PROMPT,OUTPUT", 0)
 	}
-	if len(x.body) > 0 {
-		x.content = kcrid.ContentOf(x.head.Target+" "+x.teamName(), x.body)
-		if x.g.config.Harm.Banned(x.content) {
-			return x.refuse(statusUnavailable, "the request crashes upstreams", retryNever)
-		}
+	x.stride = service.Stride
+	if x.usage.worst() > service.KV {
+		return x.refuse(statusUnavailable, "larger than the memory of an upstream", retryNever)
 	}
-	x.g.window(x.service).Request(x.started)
 	return true
 }
 
@@ -113,8 +128,6 @@
 	return x.g.clock.Now().Add(need) < kcrclock.Time(x.g.end.Load())
 }
 
-func mixID(id string) uint64 { return xxhash.Sum64String(id) }
-
 func (x *exchange) teamName() string {
 	if x.team == nil {
 		return ""
