--- a/kernel/kcrjson/node.go
+++ b/kernel/kcrjson/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 
 	"github.com/tailscale/hujson"
@@ -207,6 +208,19 @@
 	return nil
 }
 
+// Address reads a string of the form ip:port.
+func Address(n Node, to *string) error {
+	var text string
+	if err := Text(n, &text); err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return n.Fault("an address of the form ip:port", text)
+	}
+	*to = text
+	return nil
+}
+
 // Bool reads true or false.
 func Bool(n Node, to *bool) error {
 	switch n.kind() {
--- a/link/kcrsettings/settings.go
+++ b/link/kcrsettings/settings.go
@@ -4,7 +4,6 @@
 package kcrsettings
 
 import (
-	"net/netip"
 	"os"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -96,8 +95,8 @@
 	err = root.Object(kcrjson.Fields{
 		"region":    func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Region) },
 		"zones":     func(n kcrjson.Node) error { return kcrjson.Texts(n, &s.Zones) },
-		"log":       func(n kcrjson.Node) error { return address(n, &s.Log) },
-		"vms":       func(n kcrjson.Node) error { return address(n, &s.VMs) },
+		"log":       func(n kcrjson.Node) error { return kcrjson.Address(n, &s.Log) },
+		"vms":       func(n kcrjson.Node) error { return kcrjson.Address(n, &s.VMs) },
 		"buckets":   func(n kcrjson.Node) error { return kcrjson.Int(n, &s.Buckets, 1, maxBuckets) },
 		"snap":      func(n kcrjson.Node) error { return seconds(n, &s.Snap) },
 		"route":     func(n kcrjson.Node) error { return kcrjson.Text(n, &s.Route) },
@@ -120,18 +119,6 @@
 	addrs map[string]bool
 }
 
-func address(n kcrjson.Node, to *string) error {
-	var text string
-	if err := kcrjson.Text(n, &text); err != nil {
-		return err
-	}
-	if _, err := netip.ParseAddrPort(text); err != nil {
-		return n.Fault("an address of the form ip:port", text)
-	}
-	*to = text
-	return nil
-}
-
 // seconds reads a length of time.
 func seconds(n kcrjson.Node, to *kcrclock.Duration) error {
 	var v int64
@@ -143,7 +130,7 @@
 }
 
 func (r *reader) own(n kcrjson.Node, to *string) error {
-	if err := address(n, to); err != nil {
+	if err := kcrjson.Address(n, to); err != nil {
 		return err
 	}
 	if r.addrs[*to] {
--- a/router/kcrgateway/bench_test.go
+++ b/router/kcrgateway/bench_test.go
@@ -72,22 +72,15 @@
 			defer func() { _ = conn.Close() }()
 			r := bufio.NewReader(conn)
 			for {
-				head, err := kcrhttp.ReadRequest(r, 64<<10)
+				req, err := readRequest(r)
 				if err != nil {
 					return
 				}
-				body, err := kcrhttp.RequestBody(r, head)
-				if err != nil {
-					return
-				}
-				if _, err := body.ReadAll(1 << 20); err != nil {
-					return
-				}
-				if head.Target == "/once/1" {
-					reply(conn, head.Get("X-Id"), "200 OK", "", "fine")
+				if req.head.Target == "/once/1" {
+					reply(conn, req.id(), "200 OK", "", "fine")
 					continue
 				}
-				stream(conn, head.Get("X-Id"), 1, benchEvents)
+				stream(conn, req.id(), 1, benchEvents)
 				_, _ = io.WriteString(conn, kcrhttp.LastChunk)
 			}
 		}()
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -78,19 +78,10 @@
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for {
-		head, err := kcrhttp.ReadRequest(r, 64<<10)
+		req, err := readRequest(r)
 		if err != nil {
 			return
 		}
-		body, err := kcrhttp.RequestBody(r, head)
-		if err != nil {
-			return
-		}
-		data, err := body.ReadAll(1 << 20)
-		if err != nil {
-			return
-		}
-		req := request{head: head, body: string(data)}
 		u.mu.Lock()
 		u.requests = append(u.requests, req)
 		u.mu.Unlock()
@@ -100,6 +91,19 @@
 	}
 }
 
+func readRequest(r *bufio.Reader) (req request, err error) {
+	if req.head, err = kcrhttp.ReadRequest(r, 64<<10); err != nil {
+		return req, err
+	}
+	body, err := kcrhttp.RequestBody(r, req.head)
+	if err != nil {
+		return req, err
+	}
+	data, err := body.ReadAll(1 << 20)
+	req.body = string(data)
+	return req, err
+}
+
 func (u *upstream) got() []request {
 	u.mu.Lock()
 	defer u.mu.Unlock()
