--- a/kernel/kcrplace/table.go
+++ b/kernel/kcrplace/table.go
@@ -236,14 +236,6 @@
 // long tells whether a prompt is long.
 func (n *Need) long() bool { return len(n.Parts) > 0 && n.Parts[len(n.Parts)-1].Tokens >= longTokens }
 
-// Size returns how many upstreams of a service may be chosen.
-func (t *Table) Size(name kcrid.Service) int {
-	s := t.service(name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.upstreams)
-}
-
 // Choice is a chosen upstream. End must be called once.
 type Choice struct {
 	Upstream
@@ -482,16 +474,3 @@
 }
 
 func (u *upstream) pass(now kcrclock.Time, d kcrclock.Duration) { u.down = max(u.down, now.Add(d)) }
-
-// Load returns the requests in flight and the slots of a service, as far as
-// this router knows.
-func (t *Table) Load(name kcrid.Service) (inflight, slots int) {
-	s := t.service(name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, u := range s.upstreams {
-		inflight += u.inflight
-		slots += u.Slots
-	}
-	return inflight, slots
-}
--- a/kernel/kcrroute/window.go
+++ b/kernel/kcrroute/window.go
@@ -71,15 +71,3 @@
 	w.retries[i]++
 	return true
 }
-
-// Counts returns the requests and the retries in the window.
-func (w *Window) Counts(now kcrclock.Time) (requests, retries int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slide(now)
-	for k := range slots {
-		requests += w.requests[k]
-		retries += w.retries[k]
-	}
-	return requests, retries
-}
--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -59,7 +59,6 @@
 // requests have no tokens.
 type Service struct {
 	Name   kcrid.Service
-	Conns  int
 	Slots  int
 	KV     kcrid.Tokens
 	Stride kcrid.Tokens
--- a/router/kcrgateway/dialect.go
+++ b/router/kcrgateway/dialect.go
@@ -10,7 +10,6 @@
 	Team      string // of the caller, set for the upstream
 	Deadline  string // milliseconds that are left
 	Instance  string // the upstream that is meant
-	Model     string
 	Usage     string // prompt tokens, most output tokens
 	Parts     string // ID:TOKENS, … of the prompt
 	Resume    string // the last event that the caller has
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -79,7 +79,7 @@
 	stop     context.CancelFunc
 
 	mu      sync.Mutex
-	conns   map[net.Conn]bool // to whether a request is under way
+	conns   map[net.Conn]bool // callers' connections; true while a request is under way
 	windows map[kcrid.Service]*kcrroute.Window
 }
 
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -28,7 +28,7 @@
 // names are the header fields of these tests.
 func names() kcrgateway.Dialect {
 	return kcrgateway.Dialect{
-		ID: "X-Id", Key: "X-Key", Team: "X-Team", Deadline: "X-Deadline", Instance: "X-Instance", Model: "X-Model", Usage: "X-Usage",
+		ID: "X-Id", Key: "X-Key", Team: "X-Team", Deadline: "X-Deadline", Instance: "X-Instance", Usage: "X-Usage",
 		Parts: "X-Parts", Resume: "X-Resume", Signature: "X-Signature", NotRun: "X-Not-Run", Retry: "Retry-After", Urgency: "X-Urgency",
 		Ours: []string{"X-Hold"},
 	}
