A machine whose run has no name proves nothing to the next process

Cause: where the boot id can't be read, all machines and boots had the same name, and a process after a restart of the machine could have closed grants at a bound that its clock does not measure. Found by reading the change again. Now each such process has a name of its own.

--- a/link/kcrdaemon/boot.go
+++ b/link/kcrdaemon/boot.go
@@ -1,6 +1,7 @@
 package kcrdaemon
 
 import (
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -15,14 +16,14 @@
 const bootID = "/proc/sys/kernel/random/boot_id"
 
 // Boot returns the steady clock of the machine, which runs on from one process
-// to the next. Where the clock can't be read it stands still, which proves
-// nothing.
+// to the next. Where the clock or the name of its run can't be read, bounds
+// prove nothing to the next process.
 func Boot() kcrbudget.Boot {
-	id, err := os.ReadFile(bootID)
-	if err != nil {
-		id = nil
+	machine := rand.Uint64() // of this process alone, where the run has no name
+	if id, err := os.ReadFile(bootID); err == nil {
+		machine = xxhash.Sum64(id)
 	}
-	return kcrbudget.Boot{Machine: xxhash.Sum64(id), Now: func() kcrclock.Time {
+	return kcrbudget.Boot{Machine: machine, Now: func() kcrclock.Time {
 		var t unix.Timespec
 		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 			return 0
