Say things once: one loop of attempts, one pause, one probe

Unused parameters and fields are dropped, and comments that the change had overtaken are put right. Behaviour and assertions stay.

--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -13,9 +13,9 @@
 // This file defines the wallet: a holder that spends its grants itself, for
 // routers that have no sidecars behind them. Invariants: what is reserved and
 // spent never exceeds the grants that the ledger shows; nobody but the wallet
-// can make its grants smaller, so it needs no fresh view of the ledger, no
-// clock and no lease to spend; what a wallet has not spent when it dies stays
-// out of use, since nothing could prove that it was not spent.
+// can make its grants smaller, so it needs no fresh view of the ledger and
+// no lease to spend; what a wallet has not spent when it dies stays out of use, but
+// for what its bounds prove (see bound.go).
 
 // Wallet holds the escrow of one router for the plans of one bucket. It is
 // safe for concurrent use.
@@ -268,14 +268,14 @@
 	po := w.pocket(p)
 	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
 	free := w.free(p, po)
-	capped := po.drawn()+po.reserved+worst > po.cap(now)
-	if w.fits(free, worst) && !capped {
+	fits := w.fits(free, worst)
+	if fits && po.drawn()+po.reserved+worst <= po.cap(now) {
 		po.reserved += worst
 		po.arrived += po.ratio * float64(worst)
 		w.refill(now, p, po, 0)
 		return Granted
 	}
-	if w.fits(free, worst) {
+	if fits {
 		w.raise(now, p, po, worst)
 		return Pending
 	}
@@ -283,7 +283,7 @@
 	if a.Version == 0 {
 		return Unknowable
 	}
-	if a.Available()+w.others(now, p)+w.free(p, po) < worst {
+	if a.Available()+w.others(now, p)+free < worst {
 		return UsedUp
 	}
 	w.refill(now, p, po, worst)
--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -33,7 +33,6 @@
 type state struct {
 	member  Member
 	missing bool
-	since   kcrclock.Time // missing since
 }
 
 // Fleet is the membership. It is safe for concurrent use.
@@ -135,7 +134,7 @@
 		return false
 	}
 	if now < f.until && !s.member.Draining {
-		s.missing, s.since = true, now
+		s.missing = true
 		return false
 	}
 	f.drop(id, s)
--- a/kernel/kcrplace/table.go
+++ b/kernel/kcrplace/table.go
@@ -222,16 +222,18 @@
 
 // setApart chooses the engines for long prompts, by rendezvous hashing.
 func (s *service) setApart() {
-	count := int(longShare * float64(len(s.upstreams)))
 	order := slices.Clone(s.upstreams)
 	slices.SortFunc(order, func(a, b *upstream) int { return cmp.Compare(mix(longSeed^b.hash), mix(longSeed^a.hash)) })
 	for i, u := range order {
-		u.long = i < count
+		u.long = i < s.longCount()
 	}
 }
 
-// apart tells whether there are engines for long prompts.
-func (s *service) apart() bool { return int(longShare*float64(len(s.upstreams))) > 0 }
+// longCount returns how many engines there are for long prompts.
+func (s *service) longCount() int { return int(longShare * float64(len(s.upstreams))) }
+
+// apart tells whether a request goes to the engines for long prompts.
+func (s *service) apart(n *Need) bool { return n.long() && s.longCount() > 0 }
 
 // long tells whether a prompt is long.
 func (n *Need) long() bool { return len(n.Parts) > 0 && n.Parts[len(n.Parts)-1].Tokens >= longTokens }
@@ -239,9 +241,7 @@
 // Choice is a chosen upstream. End must be called once.
 type Choice struct {
 	Upstream
-	Cost   float64
 	Miss   kcrid.Tokens // of the prompt, expected not to be cached
-	Others int          // that were passed over
 	Expect kcrclock.Duration
 
 	service *service
@@ -259,17 +259,15 @@
 	defer s.mu.Unlock()
 	home := s.home(now, n)
 	var best *upstream
-	bestCost, bestMiss, passed := math.Inf(1), kcrid.Tokens(0), 0
+	bestCost, bestMiss := math.Inf(1), kcrid.Tokens(0)
 	s.turn++
 	for i := range s.upstreams {
 		u := s.upstreams[(i+s.turn)%len(s.upstreams)]
 		if contains(n.Tried, u.ID) {
-			passed++
 			continue
 		}
 		cost, miss := t.cost(now, s, u, n, u == home)
 		if now < u.down {
-			passed++
 			cost += downCost * (1 + float64(u.down.Sub(now)))
 		}
 		if cost < bestCost-even {
@@ -283,7 +281,7 @@
 	best.backlog += bestMiss
 	best.remember(n.Parts)
 	return &Choice{
-		Upstream: best.Upstream, Cost: bestCost, Miss: bestMiss, Others: passed, Expect: expect(best, bestMiss),
+		Upstream: best.Upstream, Miss: bestMiss, Expect: expect(best, bestMiss),
 		service: s, entry: best, waiting: bestMiss, started: now,
 	}
 }
@@ -311,7 +309,7 @@
 		return nil
 	}
 	session := n.Parts[len(n.Parts)-2].ID
-	top, long := uint64(0), n.long() && s.apart()
+	top, long := uint64(0), s.apart(&n)
 	for _, u := range s.upstreams {
 		if h := mix(session ^ u.hash); h >= top && now >= u.down && u.long == long {
 			best, top = u, h
@@ -345,7 +343,7 @@
 	cost += w.Busy * fill * fill
 	cost += w.Backlog * float64(u.backlog)
 	cost += w.Pause * float64(u.inflight) * held(u.backlog+miss)
-	if len(n.Parts) > 0 && u.long != (n.long() && s.apart()) {
+	if len(n.Parts) > 0 && u.long != (s.apart(&n)) {
 		cost += w.Apart
 	}
 	cost += w.Failure * u.failing(now)
--- a/kernel/kcrroute/window.go
+++ b/kernel/kcrroute/window.go
@@ -53,9 +53,8 @@
 }
 
 // Retry tells whether another attempt may be made while routers share the
-// budget, and counts it. Spare is the part of the budget that is kept for
-// attempts that are worth more.
-func (w *Window) Retry(now kcrclock.Time, routers int, spare float64) bool {
+// budget, and counts it.
+func (w *Window) Retry(now kcrclock.Time, routers int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := w.slide(now)
@@ -64,7 +63,7 @@
 		requests += w.requests[k]
 		retries += w.retries[k]
 	}
-	most := (w.ratio*float64(requests) + w.slack/float64(max(1, routers))) * (1 - spare)
+	most := w.ratio*float64(requests) + w.slack/float64(max(1, routers))
 	if float64(retries+1) > most {
 		return false
 	}
--- a/kernel/kcrroute/window_test.go
+++ b/kernel/kcrroute/window_test.go
@@ -23,7 +23,7 @@
 		w.Request(now)
 		requests = append(requests, now)
 		for range 2 { // everything fails
-			if w.Retry(now, routers, 0) {
+			if w.Retry(now, routers) {
 				retries = append(retries, now)
 			}
 		}
--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -84,6 +84,7 @@
 // Rules are one version of the configuration.
 type Rules struct {
 	Version  uint64
+	Source   []byte // what the rules were read from, for other processes
 	Limits   Limits
 	Services map[kcrid.Service]*Service
 	Teams    []Team
--- a/link/kcrdaemon/activity.go
+++ b/link/kcrdaemon/activity.go
@@ -37,6 +37,6 @@
 		if n == 0 {
 			return
 		}
-		pause(ctx, activityPoll)
+		Pause(ctx, activityPoll)
 	}
 }
--- a/link/kcrdaemon/config.go
+++ b/link/kcrdaemon/config.go
@@ -87,7 +87,7 @@
 // learn asks peers while the log does not answer.
 func (c *Config) learn(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
-		pause(ctx, peerInterval)
+		Pause(ctx, peerInterval)
 		peers := c.peers()
 		if c.Follower.Lag() < staleAfter || len(peers) == 0 {
 			continue
--- a/link/kcrdaemon/every.go
+++ b/link/kcrdaemon/every.go
@@ -25,3 +25,13 @@
 		f(ctx)
 	}
 }
+
+// Pause waits for a time, or until the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/link/kcrdaemon/fleet.go
+++ b/link/kcrdaemon/fleet.go
@@ -48,7 +48,7 @@
 	f.poll(ctx)
 	f.wait.Go(func() {
 		for ctx.Err() == nil {
-			pause(ctx, fleetInterval)
+			Pause(ctx, fleetInterval)
 			f.poll(ctx)
 		}
 	})
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -111,12 +111,12 @@
 		page, err := f.log.Read(ctx, f.stream, f.next, wait)
 		if err != nil {
 			f.logger.Debug("log read failed", "stream", f.stream, "err", err)
-			pause(ctx, errorPause)
+			Pause(ctx, errorPause)
 			continue
 		}
 		if page.First > f.next && !f.restore(ctx, page.First) {
 			f.logger.Error("state is not knowable: retention has passed it", "stream", f.stream, "need", f.next, "first", page.First)
-			pause(ctx, time.Second)
+			Pause(ctx, time.Second)
 			continue
 		}
 		f.take(page)
@@ -211,7 +211,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.kick:
-			pause(ctx, appendTick)
+			Pause(ctx, appendTick)
 		case <-idle.C:
 		}
 		f.empty(ctx)
@@ -234,13 +234,13 @@
 func (f *Follower) append(ctx context.Context, records [][]byte, last uint64) {
 	if err := f.log.Append(ctx, f.stream, records); err != nil {
 		f.logger.Debug("log append failed", "stream", f.stream, "err", err)
-		pause(ctx, errorPause)
+		Pause(ctx, errorPause)
 	}
 	for waited := time.Duration(0); waited < confirmWait && ctx.Err() == nil; waited += appendTick {
 		if _, now := f.fold.Batch(len(records)); now != last {
 			return
 		}
-		pause(ctx, appendTick)
+		Pause(ctx, appendTick)
 	}
 }
 
@@ -290,12 +290,3 @@
 	}
 	return log.Append(ctx, kcrid.SnapStream(stream), records)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -185,9 +185,9 @@
 	return unknown, "answers to other requests"
 }
 
-// dead tells whether the upstream takes no connection. One that is busy does.
-func (t *try) dead() bool {
-	conn, err := net.DialTimeout("tcp", t.choice.Addr, probeTime)
+// dead tells whether an upstream takes no connection. One that is busy does.
+func dead(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, probeTime)
 	if err != nil {
 		return true
 	}
@@ -298,19 +298,14 @@
 	}
 }
 
-// probeTime bounds the connection that tells a crash from a cut.
+// probeTime bounds the connection that tells a dead upstream from a busy one.
 const probeTime = 100 * time.Millisecond
 
 // suspect counts a crash where an upstream that broke off takes no connection.
 func (g *Gateway) suspect(content kcrid.Content, c *kcrplace.Choice) {
 	addr, vm := c.Addr, c.ID
 	g.wait.Go(func() {
-		conn, err := net.DialTimeout("tcp", addr, probeTime)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		if g.config.Harm.Crashed(content, vm) {
+		if dead(addr) && g.config.Harm.Crashed(content, vm) {
 			g.logger.Info("crash", "content", uint64(content), "id", string(vm), "count", g.config.Harm.Count(content))
 			g.config.Crashed(content, vm)
 		}
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -130,6 +130,7 @@
 	deadline kcrclock.Time
 	content  kcrid.Content
 	attempts []attempt
+	runs     int               // that may have begun
 	first    kcrclock.Duration // to the answer or the first event, 0 before
 	events   int
 	pause    kcrclock.Duration // longest between two events
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -27,6 +27,7 @@
 	"kingcuprun.example/kernel/kcrplace"
 	"kingcuprun.example/kernel/kcrroute"
 	"kingcuprun.example/kernel/kcrrule"
+	"kingcuprun.example/link/kcrdaemon"
 )
 
 // Purse reserves and settles tokens of teams. Reserve may wait for escrow as
@@ -189,7 +190,7 @@
 // and each answer ends its connection. It returns when nothing is under way, or
 // when the context ends.
 func (g *Gateway) Stop(ctx context.Context, settle time.Duration) {
-	sleep(ctx, settle)
+	kcrdaemon.Pause(ctx, settle)
 	if end, ok := ctx.Deadline(); ok {
 		g.end.Store(int64(g.clock.Now()) + time.Until(end).Milliseconds())
 	}
@@ -202,7 +203,7 @@
 // drain waits until no request is under way.
 func (g *Gateway) drain(ctx context.Context) {
 	for ctx.Err() == nil && g.endIdle() > 0 {
-		sleep(ctx, stopPoll)
+		kcrdaemon.Pause(ctx, stopPoll)
 	}
 }
 
@@ -235,15 +236,6 @@
 	return busy
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func sameName(a, b string) bool { return len(a) == len(b) && strings.EqualFold(a, b) }
 
 // jitter spreads a time over half to one and a half of it.
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -22,29 +22,37 @@
 
 // forwardPlain makes attempts until one answers.
 func (x *exchange) forwardPlain() {
-	runs, why := 0, ""
+	if why := x.attempt(func() int64 { return -1 }, x.plainTry); why != "" {
+		x.fail(why, retrySoon)
+	}
+}
+
+// attempt makes attempts until run has given the caller its answer, or none may
+// follow. It returns why there is no answer. From returns the event that an
+// attempt goes on from, negative for the caller's own.
+func (x *exchange) attempt(from func() int64, run func(*try) (why string)) (why string) {
 	for range maxTries {
-		t, v, reason := x.start(-1)
+		t, v, reason := x.start(from())
 		why = reason
 		if t == nil {
-			break
+			return why
 		}
 		switch v {
 		case answered:
-			runs++
-			if why = x.plainTry(t, runs); why == "" {
-				return
+			x.runs++
+			if why = run(t); why == "" {
+				return ""
 			}
 		case unknown:
 			x.ran = true
-			runs++
+			x.runs++
 		case notRun:
 		}
-		if !x.again(runs) {
-			break
+		if !x.again() {
+			return why
 		}
 	}
-	x.fail(why, retrySoon)
+	return why
 }
 
 // answer is a whole answer of an upstream.
@@ -57,21 +65,21 @@
 const upstreamFailed = "the upstream failed"
 
 // again tells whether another attempt may follow.
-func (x *exchange) again(runs int) bool {
-	if x.left.Load() || x.remaining() <= 0 || x.ran && (!x.route.Repeats() || runs >= x.route.Attempts) {
+func (x *exchange) again() bool {
+	if x.left.Load() || x.remaining() <= 0 || x.ran && (!x.route.Repeats() || x.runs >= x.route.Attempts) {
 		return false
 	}
 	last := x.attempts[len(x.attempts)-1]
 	if last.result == kcrplace.Unreached {
 		return true
 	}
-	return x.g.window(x.service).Retry(x.g.clock.Now(), x.g.config.Routers(), 0)
+	return x.g.window(x.service).Retry(x.g.clock.Now(), x.g.config.Routers())
 }
 
 // plainTry waits for one answer and passes it on. It returns why there is
 // none, "" where the caller has its answer.
-func (x *exchange) plainTry(t *try, runs int) (why string) {
-	more := x.route.Kind == kcrrule.Idempotent && runs < x.route.Attempts
+func (x *exchange) plainTry(t *try) (why string) {
+	more := x.route.Kind == kcrrule.Idempotent && x.runs < x.route.Attempts
 	until := x.deadline
 	if more {
 		patience := max(leastPatience, kcrclock.Duration(patiencePart*float64(x.route.Aim)))
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -38,7 +38,6 @@
 	last    int64
 	events  kcrhttp.Events
 	buf     [readBuf]byte
-	runs    int
 }
 
 // forwardStream makes attempts until a stream has come to its end.
@@ -47,33 +46,15 @@
 	if n, err := strconv.ParseInt(x.head.Get(x.g.dialect.Resume), 10, 64); err == nil {
 		s.last = n
 	}
-	why := ""
-	for range maxTries {
-		resume := int64(-1)
+	from := func() int64 {
 		if x.events > 0 {
-			resume = s.last
-		}
-		t, v, reason := x.start(resume)
-		why = reason
-		if t == nil {
-			break
-		}
-		switch v {
-		case answered:
-			s.runs++
-			if why = s.run(t); why == "" {
-				return
-			}
-		case unknown:
-			x.ran = true
-			s.runs++
-		case notRun:
-		}
-		if !x.again(s.runs) {
-			break
+			return s.last
 		}
+		return -1
+	}
+	if why := x.attempt(from, s.run); why != "" {
+		s.fail(why)
 	}
-	s.fail(why)
 }
 
 // fail ends a stream that did not come to its end.
@@ -136,7 +117,7 @@
 // until returns the moment up to which an event is waited for.
 func (s *stream) until(aim kcrclock.Duration, part float64) kcrclock.Time {
 	x := s.x
-	if !x.route.Resumable || s.runs >= x.route.Attempts || aim <= 0 {
+	if !x.route.Resumable || x.runs >= x.route.Attempts || aim <= 0 {
 		return x.deadline
 	}
 	return min(x.deadline, x.g.clock.Now().Add(kcrclock.Duration(part*float64(aim))))
@@ -146,7 +127,7 @@
 // whether it is alive.
 func (s *stream) await(t *try) (v verdict, why string) {
 	until := s.until(s.x.route.Aim, firstPart)
-	if v, why = t.await(until); why != timedOut || until >= s.x.deadline || t.dead() {
+	if v, why = t.await(until); why != timedOut || until >= s.x.deadline || dead(t.choice.Addr) {
 		return v, why
 	}
 	return t.await(s.until(s.x.route.Aim, hungFactor))
@@ -157,7 +138,7 @@
 func (s *stream) silent(t *try, since kcrclock.Time, limit kcrclock.Duration) bool {
 	now := s.x.g.clock.Now()
 	hung := kcrclock.Duration(hungFactor * float64(limit))
-	if s.x.left.Load() || now >= s.x.deadline || now.Sub(since) >= hung || t.dead() {
+	if s.x.left.Load() || now >= s.x.deadline || now.Sub(since) >= hung || dead(t.choice.Addr) {
 		return true
 	}
 	t.readUntil(min(s.x.deadline, since.Add(hung)))
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -68,19 +68,12 @@
 	pool     *kcrlink.Pool
 	server   *kcrlink.Server
 	decode   func([]byte) (*kcrrule.Rules, error)
-	known    atomic.Pointer[known]
 	blind    atomic.Bool // the store does not tell the configuration
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	wait     conc.WaitGroup
 }
 
-// known is the configuration in force as the operator wrote it.
-type known struct {
-	version uint64
-	raw     []byte
-}
-
 // Timing of a node.
 const (
 	// tick is the time between looks at what is due.
@@ -180,11 +173,11 @@
 	if err != nil {
 		return err
 	}
+	r.Source = raw
 	if !n.rules.Apply(r) {
 		n.logger.Info("configuration passed over", "version", r.Version, "inforce", n.rules.Rules().Version)
 		return nil
 	}
-	n.known.Store(&known{version: r.Version, raw: raw})
 	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services))
 	n.limit(r)
 	n.update()
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"kingcuprun.example/kernel/kcrfleet"
+	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
 	"kingcuprun.example/link/kcrwire"
 )
 
 // This file serves the other routers and asks them: for escrow, and for the
-// configuration and the members where the store is out of reach at the start.
-// What a peer tells never replaces what the store has told.
+// configuration while the store does not tell it, and for the members where the
+// store was never heard of. Of configurations only a higher version counts,
+// whoever tells it; members that the store has told stay as they are.
 
 // belief is what a router tells one that knows nothing yet.
 type belief struct {
@@ -47,13 +49,12 @@
 // listed tells what this router believes, if it is newer than what the peer has.
 func (n *Node) listed(req *kcrwire.Lists) *kcrwire.Reply {
 	out := &kcrwire.Listed{}
-	known := n.known.Load()
-	if known != nil && known.version > req.GetAt() {
-		state, err := json.Marshal(belief{Config: known.raw, Members: n.fleet.Members()})
+	if r := n.rules.Rules(); r != nil && r.Version > req.GetAt() {
+		state, err := json.Marshal(belief{Config: r.Source, Members: n.fleet.Members()})
 		if err != nil {
 			return &kcrwire.Reply{Error: err.Error()}
 		}
-		out.At, out.State = known.version, state
+		out.At, out.State = r.Version, state
 	}
 	return &kcrwire.Reply{Kind: &kcrwire.Reply_Listed{Listed: out}}
 }
@@ -61,13 +62,13 @@
 // learn asks peers, one after the other, while the store does not tell the
 // configuration.
 func (n *Node) learn(ctx context.Context, seeds []string) {
-	pause(ctx, learnFirst)
+	kcrdaemon.Pause(ctx, learnFirst)
 	for i := 0; ctx.Err() == nil; i++ {
 		peers := n.peers(seeds)
 		if n.blind.Load() && len(peers) > 0 {
 			n.learnFrom(ctx, peers[i%len(peers)])
 		}
-		pause(ctx, learnPause/time.Duration(max(1, len(peers))))
+		kcrdaemon.Pause(ctx, learnPause/time.Duration(max(1, len(peers))))
 	}
 }
 
@@ -85,8 +86,8 @@
 
 // version returns that of the configuration in force, 0 before the first.
 func (n *Node) version() uint64 {
-	if known := n.known.Load(); known != nil {
-		return known.version
+	if r := n.rules.Rules(); r != nil {
+		return r.Version
 	}
 	return 0
 }
@@ -113,15 +114,6 @@
 	n.logger.Info("configuration learned from a peer", "peer", addr, "version", reply.GetListed().GetAt())
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Control returns the address for other routers, "" if there is none.
 func (n *Node) Control() string {
 	if n.server == nil {
