--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -78,8 +78,10 @@
 const (
 	// tick is the time between looks at what is due.
 	tick = 50 * time.Millisecond
-	// returnTime is how long entries take to come back after an outage.
-	returnTime = 2200 * kcrclock.Millisecond
+	// returnTime is how long an entry that is missing after an outage counts:
+	// most are back by then, and an engine that left just after a short loss of
+	// the store gets nothing two seconds later.
+	returnTime = 1600 * kcrclock.Millisecond
 	// maxCrashes is how many upstreams a request may crash.
 	maxCrashes = 3
 	// fewRouters is the number of routers that a lone one takes to share the
