Homes of budgets beside the engines lend to routers

Cause: routers held nine seconds of escrow for cuts from the store of eight seconds.

Ruled out first, by trials: processes beside engines are not cut off with the routers; they lose power with them (closing faults), and keep the store while routers are cut off. A machine's steady clock begins at another value after a loss of power while its boot id stays the same, so a heir now also compares the time of day at which the clock was zero; before, a grant could have been inherited across a loss of power by chance.

Change: a role beside each engine holds escrow of a bucket (the wallet that was there) and lends what the next 0.4 s need; routers return what they don't need, and hold escrow of their own only while no home answers. Loans shrink with what is left, so that the end of a budget lies in one place.

--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -14,13 +14,22 @@
 // bound that may be the newest on the ledger, that is to the last one that it
 // has seen there and to all that it sent since; a bound is measured by the
 // steady clock of the machine, which runs on when a process dies, and a heir
-// on another machine, or after a restart of the machine, proves nothing.
+// on another machine, or after a restart of the machine, proves nothing. Not
+// all machines name their runs anew, so the time of day at which the clock was
+// zero has to agree as well: where it does not, tokens stay out of use.
 
-// Boot is the steady clock of a machine. Machine tells one run of it from
-// another.
+// Boot is the steady clock of a machine. Machine names one run of it; Began is
+// the time of day at which the clock was zero.
 type Boot struct {
 	Now     func() kcrclock.Time
 	Machine uint64
+	Began   kcrclock.Time
+}
+
+// same tells whether a bound was made in the same run of the machine.
+func (b Boot) same(o Bound) bool {
+	apart := b.Began.Sub(o.Began)
+	return b.Machine == o.Machine && apart <= beganSlack && apart >= -beganSlack
 }
 
 // Bound says how much a holder has drawn at most: Base at the moment Boot, and
@@ -30,16 +39,18 @@
 	Rate    kcrid.Tokens  `json:"rate"`
 	Boot    kcrclock.Time `json:"boot"`
 	Machine uint64        `json:"machine"`
+	Began   kcrclock.Time `json:"began"`
 }
 
 func boundOf(m *kcrentry.Bound) Bound {
 	return Bound{
-		Base: kcrid.Tokens(m.GetBase()), Rate: kcrid.Tokens(m.GetRate()), Boot: kcrclock.Time(m.GetBoot()), Machine: m.GetMachine(),
+		Base: kcrid.Tokens(m.GetBase()), Rate: kcrid.Tokens(m.GetRate()), Boot: kcrclock.Time(m.GetBoot()),
+		Machine: m.GetMachine(), Began: kcrclock.Time(m.GetBegan()),
 	}
 }
 
 func (b Bound) entry() *kcrentry.Bound {
-	return &kcrentry.Bound{Base: int64(b.Base), Rate: int64(b.Rate), Boot: int64(b.Boot), Machine: b.Machine}
+	return &kcrentry.Bound{Base: int64(b.Base), Rate: int64(b.Rate), Boot: int64(b.Boot), Machine: b.Machine, Began: int64(b.Began)}
 }
 
 // after returns what may be drawn a time after the bound was made.
@@ -67,6 +78,9 @@
 	// maxHeirTime is how long after a process was last heard of another proves
 	// anything about it.
 	maxHeirTime = 20 * kcrclock.Second
+	// beganSlack is how far two readings of the time of day at which a machine
+	// began may be apart; a restart takes longer.
+	beganSlack = 50 * kcrclock.Millisecond
 )
 
 // cap returns what may be drawn and reserved now.
@@ -85,7 +99,7 @@
 func (w *Wallet) promise(p kcrid.Plan, po *pocket, worst kcrid.Tokens) Bound {
 	rate := boundRate*po.rate + boundFloor*float64(w.ledger.Account(p).Prepaid)
 	room := kcrid.Tokens(po.rate*boundTime.Seconds()) + worst
-	return Bound{Base: po.drawn() + po.reserved + room, Rate: kcrid.Tokens(rate), Boot: w.boot.Now(), Machine: w.boot.Machine}
+	return Bound{Base: po.exposed(0) + room, Rate: kcrid.Tokens(rate), Boot: w.boot.Now(), Machine: w.boot.Machine, Began: w.boot.Began}
 }
 
 // keep notes a bound that is on its way to the ledger.
@@ -128,7 +142,7 @@
 		msg := &kcrentry.Inherit{Holder: string(name)}
 		for p, g := range h.Grants {
 			since := w.startBoot.Sub(g.Bound.Boot)
-			if g.Bound.Boot == 0 || g.Bound.Machine != w.boot.Machine || since < 0 || since > maxHeirTime {
+			if g.Bound.Boot == 0 || !w.boot.same(g.Bound) || since < 0 || since > maxHeirTime {
 				continue
 			}
 			used := max(0, min(g.Amount, g.Bound.after(since)))
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -1,6 +1,7 @@
 package kcrbudget
 
 import (
+	"log/slog"
 	"math"
 	"sync"
 
@@ -20,11 +21,12 @@
 // Wallet holds the escrow of one router for the plans of one bucket. It is
 // safe for concurrent use.
 type Wallet struct {
-	self   kcrid.Incarnation
-	addr   string
-	boot   Boot
-	policy Policy
-	fits   func(free, worst kcrid.Tokens) bool
+	self    kcrid.Incarnation
+	addr    string
+	borrows bool
+	boot    Boot
+	policy  Policy
+	fits    func(free, worst kcrid.Tokens) bool
 
 	mu        sync.Mutex
 	ledger    *Ledger
@@ -49,11 +51,14 @@
 	lent     kcrid.Tokens // to other holders, for good
 	borrowed kcrid.Tokens // from other holders, beside the grant
 	marked   kcrid.Tokens
-	promises []promise // oldest first
-	raising  uint64    // sequence of a report that lifts the bound
-	claiming uint64    // sequence of the claim in flight
+	reported kcrid.Tokens // the most that was ever marked
+	promises []promise    // oldest first
+	raising  uint64       // sequence of a report that lifts the bound
+	claiming uint64       // sequence of the claim in flight
 	unmetAt  kcrclock.Time
 	unmet    bool
+	left     kcrid.Tokens // that the plan still has, as the lender says; -1 before it did
+	leftAt   kcrclock.Time
 	rate     float64       // tokens a second, smoothed
 	ratio    float64       // of what is spent to what was reserved, smoothed
 	rateFrom kcrclock.Time // of the first request
@@ -83,8 +88,21 @@
 	// helloTime is the time between two records of a holder's address, well
 	// below the time for which the log keeps them.
 	helloTime = 5 * kcrclock.Second
-	// borrowTime is the demand that is borrowed beside what a request lacks.
-	borrowTime = kcrclock.Second / 2
+	// borrowTime is the demand that a borrower wants to have at hand. It is lost
+	// where the borrower dies, and saves a call for most requests.
+	borrowTime = 400 * kcrclock.Millisecond
+	// borrowBelow is the part of that below which more is borrowed, and
+	// borrowMost the multiple of it from which on some is given back.
+	borrowBelow = 0.5
+	borrowMost  = 2
+	// borrowPart is the part of what a plan still has that a borrower has at
+	// hand at most: near the end of a budget all of it lies with the lender.
+	borrowPart = 0.02
+	// leftTime is how long a borrower relies on what it was told to be left.
+	leftTime = 600 * kcrclock.Millisecond
+	// lendPart is the part of what is free that one loan takes at most beside
+	// what a request needs: near the end of a budget loans become small.
+	lendPart = 8
 	// excess is how far above its target a wallet holds on to escrow.
 	excess = 1.5
 	// ratioWeight is the weight of the newest request in the spent ratio.
@@ -92,11 +110,14 @@
 )
 
 // WalletConfig is what a Wallet is made of. Fits decides whether a reservation
-// fits into what is free.
+// fits into what is free. A wallet that borrows leaves it to its driver where
+// escrow comes from: it claims only by Claim, and by its policy.
 type WalletConfig struct {
 	Self        kcrid.Incarnation
 	Addr        string // for calls of other holders, "" for none
+	Borrows     bool
 	Boot        Boot
+	Started     kcrclock.Time // of the process, on the clock of Boot; 0 for now
 	LedgerRules LedgerRules
 	Policy      Policy
 	Fits        func(free, worst kcrid.Tokens) bool
@@ -108,12 +129,17 @@
 // NewWallet returns a wallet that knows nothing of its bucket. It gives no
 // reservation until Ready is called after the stream was applied to its end.
 func NewWallet(c WalletConfig) *Wallet {
+	if c.Started == 0 {
+		c.Started = c.Boot.Now()
+	}
 	return &Wallet{
 		self: c.Self,
 		addr: c.Addr,
 		boot: c.Boot,
 
-		startBoot: c.Boot.Now(),
+		borrows: c.Borrows,
+
+		startBoot: c.Started,
 
 		policy:  c.Policy,
 		fits:    c.Fits,
@@ -173,7 +199,7 @@
 func (w *Wallet) pocket(p kcrid.Plan) *pocket {
 	po, ok := w.pockets[p]
 	if !ok {
-		po = &pocket{backs: map[uint64]kcrid.Tokens{}, ratio: 1}
+		po = &pocket{backs: map[uint64]kcrid.Tokens{}, ratio: 1, left: -1}
 		w.pockets[p] = po
 	}
 	return po
@@ -194,13 +220,14 @@
 	return sum
 }
 
-// Peers returns how many holders, itself included, were heard of lately.
+// Peers returns how many holders that take calls, itself included, were heard
+// of lately.
 func (w *Wallet) Peers(now kcrclock.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 1
-	for name, at := range w.heard {
-		if name != w.self && now.Sub(at) < quietTime {
+	for name := range w.addrs {
+		if name != w.self && now.Sub(w.heard[name]) < quietTime {
 			n++
 		}
 	}
@@ -257,33 +284,50 @@
 }
 
 // Reserve takes the worst case of a request out of what is free. Pending means
-// that escrow is asked for: ask again after the next Apply. UsedUp is proved by
-// the ledger as the wallet knows it.
+// that escrow is asked for, or for a wallet that borrows is to be borrowed or
+// claimed: ask again after the next Apply or Borrow. UsedUp is proved by the
+// ledger as the wallet knows it.
 func (w *Wallet) Reserve(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) Code {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ready || w.retired {
+	if !w.ready && !w.borrows || w.retired {
 		return Unknowable
 	}
 	po := w.pocket(p)
 	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
-	free := w.free(p, po)
-	fits := w.fits(free, worst)
-	if fits && po.drawn()+po.reserved+worst <= po.cap(now) {
+	fits := w.fits(w.free(p, po), worst)
+	switch {
+	case fits && po.exposed(worst) <= po.cap(now):
 		po.reserved += worst
 		po.arrived += po.ratio * float64(worst)
 		w.refill(now, p, po, 0)
 		return Granted
-	}
-	if fits {
+	case fits:
 		w.raise(now, p, po, worst)
 		return Pending
+	case w.borrows:
+		return Pending
 	}
+	return w.claim(now, p, po, worst)
+}
+
+// Claim asks the ledger for what a request lacks. It returns Pending, or why
+// nothing can come.
+func (w *Wallet) Claim(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) Code {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ready || w.retired {
+		return Unknowable
+	}
+	return w.claim(now, p, w.pocket(p), worst)
+}
+
+func (w *Wallet) claim(now kcrclock.Time, p kcrid.Plan, po *pocket, worst kcrid.Tokens) Code {
 	a := w.ledger.Account(p)
 	if a.Version == 0 {
 		return Unknowable
 	}
-	if a.Available()+w.others(now, p)+free < worst {
+	if a.Available()+w.others(now, p)+w.free(p, po) < worst {
 		return UsedUp
 	}
 	w.refill(now, p, po, worst)
@@ -390,10 +434,18 @@
 // drawn is what is gone of the grant: what others lent was drawn from theirs.
 func (po *pocket) drawn() kcrid.Tokens { return max(0, po.spent+po.lent-po.borrowed) }
 
+// exposed is what may be gone of the grant once more tokens are reserved or
+// lent.
+func (po *pocket) exposed(more kcrid.Tokens) kcrid.Tokens {
+	return max(0, po.spent+po.lent+po.reserved+more-po.borrowed)
+}
+
 // mark reports the spending of a plan, gives a part of its grant back, and
 // renews its bound with room for a request that waits.
 func (w *Wallet) mark(now kcrclock.Time, p kcrid.Plan, po *pocket, back, worst kcrid.Tokens) (seq uint64) {
 	po.marked = po.drawn()
+	po.reported = max(po.reported, po.marked)
+	back = max(0, min(back, w.ledger.Grant(w.self, p).Amount-po.backing-po.reported))
 	bound := w.promise(p, po, worst)
 	seq = w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Mark{Mark: &kcrentry.Mark{
 		Plan: string(p), Back: int64(back), Spent: int64(po.marked), Bound: bound.entry(),
@@ -406,35 +458,126 @@
 	return seq
 }
 
-// Lend gives escrow to another holder, at most what is wanted: it counts as
-// spent here from now on, whether it arrives or not.
-func (w *Wallet) Lend(now kcrclock.Time, p kcrid.Plan, want kcrid.Tokens) kcrid.Tokens {
+// Loan is escrow that is given to another holder. Left is what the plan still
+// has here or available to all.
+type Loan struct {
+	Tokens kcrid.Tokens
+	Code   Code
+	Left   kcrid.Tokens
+}
+
+// Lend gives escrow to another holder: what it needs, and some of what it wants
+// besides. It counts as spent here from now on, whether it arrives or not. With
+// Pending the holder should ask again after the next Apply.
+func (w *Wallet) Lend(now kcrclock.Time, p kcrid.Plan, need, want kcrid.Tokens) Loan {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ready || want <= 0 {
-		return 0
+	if !w.ready || w.retired {
+		return Loan{Code: Unknowable}
 	}
 	po := w.pocket(p)
-	give := w.policy.Spare(w.view(now, p, po, 0), want)
-	give = max(0, min(give, po.cap(now)-po.drawn()-po.reserved))
+	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
+	free := w.free(p, po)
+	left := max(0, w.ledger.Account(p).Available()+free)
+	if !w.fits(free, need) {
+		return Loan{Code: w.claim(now, p, po, need), Left: left}
+	}
+	if po.exposed(need) > po.cap(now) {
+		w.raise(now, p, po, need)
+		return Loan{Code: Pending, Left: left}
+	}
+	give := need + max(0, min(want-need, (free-need)/lendPart, po.cap(now)-po.exposed(need)))
 	po.lent += give
-	return give
+	po.arrived += float64(give)
+	return Loan{Tokens: give, Code: Granted, Left: left - give}
 }
 
-// Borrow takes in what another holder has lent.
+// Borrow takes in what another holder has lent or given back.
 func (w *Wallet) Borrow(p kcrid.Plan, tokens kcrid.Tokens) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.pocket(p).borrowed += tokens
 }
 
-// Short returns how much a request of a plan lacks, and some more so that the
-// next ones need not ask.
-func (w *Wallet) Short(p kcrid.Plan, worst kcrid.Tokens) kcrid.Tokens {
+// Returned takes in what a borrower did not need of what was lent here.
+func (w *Wallet) Returned(p kcrid.Plan, tokens kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	po := w.pocket(p)
+	po.borrowed += tokens
+	po.arrived -= float64(tokens)
+}
+
+// Short returns how much a request of a plan lacks, and what the demand of the
+// next moments is besides.
+func (w *Wallet) Short(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) (need, want kcrid.Tokens) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	po := w.pocket(p)
-	return max(0, worst-w.free(p, po)) + kcrid.Tokens(po.rate*borrowTime.Seconds())
+	usable := min(w.free(p, po), po.cap(now)+po.borrowed-po.spent-po.lent-po.reserved)
+	need = max(0, worst-usable)
+	return need, need + max(0, po.near()-max(0, usable-worst))
+}
+
+// near is the demand of the next moments, as far as it may be at hand.
+func (po *pocket) near() kcrid.Tokens {
+	near := kcrid.Tokens(po.rate * borrowTime.Seconds())
+	if po.left >= 0 {
+		near = min(near, kcrid.Tokens(borrowPart*float64(po.left)))
+	}
+	return near
+}
+
+// Left takes in what a plan still has, as its lender says.
+func (w *Wallet) Left(now kcrclock.Time, p kcrid.Plan, tokens kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	po := w.pocket(p)
+	po.left, po.leftAt = tokens, now
+}
+
+// Low returns the plans whose escrow at a borrower covers too little of the
+// next moments, and those of which it does not know what they still have.
+func (w *Wallet) Low(now kcrclock.Time) (out []kcrid.Plan) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for p, po := range w.pockets {
+		po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
+		if po.rate == 0 {
+			continue
+		}
+		if float64(w.free(p, po)) < borrowBelow*float64(po.near()) || now.Sub(po.leftAt) > leftTime {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Amount is an amount of one plan.
+type Amount struct {
+	Plan   kcrid.Plan
+	Tokens kcrid.Tokens
+}
+
+// Excess takes out what a borrower has borrowed of each plan beyond the demand
+// of the next moments, or all of it. It counts as lent from now on.
+func (w *Wallet) Excess(all bool) (out []Amount) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for p, po := range w.pockets {
+		free, keep := po.borrowed-po.spent-po.lent-po.reserved, po.near()
+		switch {
+		case all:
+			keep = 0
+		case free <= borrowMost*keep:
+			continue
+		}
+		if free > keep {
+			po.lent += free - keep
+			out = append(out, Amount{Plan: p, Tokens: free - keep})
+		}
+	}
+	return out
 }
 
 // Peer is another holder that takes calls.
@@ -476,7 +619,7 @@
 		free := w.free(p, po)
 		keep := kcrid.Tokens(excess * float64(w.policy.Target(w.view(now, p, po, 0))))
 		switch {
-		case free > keep && po.claiming == 0:
+		case free > keep && po.claiming == 0 && w.ledger.Grant(w.self, p).Amount-po.backing > po.reported:
 			w.mark(now, p, po, free-keep, 0)
 		case po.drawn() != po.marked:
 			w.mark(now, p, po, 0, 0)
@@ -540,26 +683,27 @@
 
 // Limits of the policy for short outages of the log.
 const (
-	// outageHorizon covers an outage of eight seconds and a margin; what one router
-	// lacks in it, it borrows from others.
-	outageHorizon = 9 * kcrclock.Second
+	// OutageHorizon is the demand that a holder covers while the log is out of
+	// reach. More of it is lost where a machine loses its power, and less makes
+	// callers wait in an outage.
+	OutageHorizon = 2 * kcrclock.Second
 	// mostOut is the part of what is left that all holders may have out at
 	// once: what they hold is lost if they die together.
 	mostOut = 0.8
 	// firstShare is the part of what is left that a holder without demand has.
-	firstShare = 0.05
+	firstShare = 0.01
 	// keepTime is the demand that a holder keeps when others are short.
 	keepTime = kcrclock.Second / 2
 )
 
 // ForOutages returns the policy for a log whose outages last seconds, and for
 // holders whose escrow is lost when they die.
-func ForOutages() Policy {
+func ForOutages(horizon kcrclock.Duration) Policy {
 	return Policy{
 		Target: func(v View) kcrid.Tokens {
 			left := float64(max(0, v.Available+v.Free+v.Others))
 			most := max(mostOut*left*v.Share, firstShare*left)
-			want := max(v.Rate*outageHorizon.Seconds(), firstShare*left)
+			want := max(v.Rate*horizon.Seconds(), firstShare*left)
 			return kcrid.Tokens(min(want, most))
 		},
 		Spare: func(v View, unmet kcrid.Tokens) kcrid.Tokens {
@@ -568,3 +712,27 @@
 		},
 	}
 }
+
+// WhenAlone returns the policy of a borrower: it holds nothing of its own while
+// there is somebody to borrow from.
+func WhenAlone(alone func() bool, otherwise Policy) Policy {
+	return Policy{
+		Target: func(v View) kcrid.Tokens {
+			if !alone() {
+				return 0
+			}
+			return otherwise.Target(v)
+		},
+		Spare: otherwise.Spare,
+	}
+}
+
+// LogEffect logs what a record did to the ledger, but for plain reports of
+// spending.
+func LogEffect(logger *slog.Logger, eff Effect, off kcrid.Offset) {
+	if eff.Kind == Ignored || eff.Kind == Marked && eff.Tokens == 0 {
+		return
+	}
+	logger.Info("escrow", "what", eff.Kind.String(), "plan", string(eff.Plan), "holder", string(eff.Writer),
+		"tokens", int64(eff.Tokens), "unmet", int64(eff.Unmet), "offset", uint64(off))
+}
--- a/kernel/kcrbudget/wallet_test.go
+++ b/kernel/kcrbudget/wallet_test.go
@@ -44,6 +44,7 @@
 type fleet struct {
 	rules   rules
 	now     kcrclock.Time
+	began   kcrclock.Time // of machines that start from now on
 	stream  [][]byte
 	late    [][][]byte
 	routers []*router
@@ -68,8 +69,8 @@
 	f.run++
 	return &router{vm: vm, wallet: kcrbudget.NewWallet(kcrbudget.WalletConfig{
 		Self:        kcrid.IncarnationOf(kcrid.VM(fmt.Sprintf("vm-%d", vm)), fmt.Sprint(f.run)),
-		Boot:        kcrbudget.Boot{Now: func() kcrclock.Time { return f.rules.boot(f.now + 1000) }, Machine: uint64(vm + 1)},
-		LedgerRules: f.rules.ledger, Policy: kcrbudget.ForOutages(), Fits: f.rules.fits,
+		Boot:        kcrbudget.Boot{Now: func() kcrclock.Time { return f.rules.boot(f.now + 1000) }, Machine: uint64(vm + 1), Began: f.began},
+		LedgerRules: f.rules.ledger, Policy: kcrbudget.ForOutages(9 * kcrclock.Second), Fits: f.rules.fits,
 	})}
 }
 
@@ -122,8 +123,21 @@
 	if from == to || from.dead || to.dead {
 		return
 	}
-	if got := from.wallet.Lend(f.now, plan, want); !lost {
-		to.wallet.Borrow(plan, got)
+	need := want / 2
+	if loan := from.wallet.Lend(f.now, plan, need, want); !lost {
+		to.wallet.Borrow(plan, loan.Tokens)
+	}
+}
+
+// giveBack returns what a router has borrowed and does not need.
+func (f *fleet) giveBack(from, to *router, all, lost bool) {
+	if from == to || from.dead || to.dead {
+		return
+	}
+	for _, a := range from.wallet.Excess(all) {
+		if !lost {
+			to.wallet.Returned(a.Plan, a.Tokens)
+		}
 	}
 }
 
@@ -143,7 +157,9 @@
 	case 12, 13, 14:
 		f.end(r)
 	case 15:
-		f.lend(r, f.routers[draw(len(f.routers))], kcrid.Tokens(draw(300)), draw(4) == 0)
+		other := f.routers[draw(len(f.routers))]
+		f.lend(r, other, kcrid.Tokens(draw(300)), draw(4) == 0)
+		f.giveBack(other, f.routers[draw(len(f.routers))], draw(2) == 0, draw(4) == 0)
 	case 16:
 		r.cut = draw(4) == 0
 	case 17:
@@ -285,7 +301,7 @@
 
 func TestHeirGetsBackWhatCannotBeSpent(t *testing.T) {
 	t.Parallel()
-	f := newFleet(sound(), 1, 100000)
+	f := newFleet(sound(), 1, 200000)
 	r := f.routers[0]
 	settle := func(r *router) {
 		for range 6 {
@@ -310,12 +326,42 @@
 		t.Fatal("expected the heir to close the old grants, got no record")
 	}
 	settle(heir)
-	lost := 100000 - 100 - heir.wallet.Holding(plan).Available - heir.wallet.Holding(plan).Free
+	lost := 200000 - 100 - heir.wallet.Holding(plan).Available - heir.wallet.Holding(plan).Free
 	if lost > held.Free/4 {
 		t.Fatalf("expected most of %d tokens back, lost %d", held.Free, lost)
 	}
 }
 
+// TestRestartedMachineInheritsNothing: the steady clock of a machine that lost
+// its power begins anew, and the machine may keep its name.
+func TestRestartedMachineInheritsNothing(t *testing.T) {
+	t.Parallel()
+	for _, began := range []kcrclock.Time{0, 60, -60, 5000} {
+		f := newFleet(sound(), 1, 200000)
+		settle := func(r *router) {
+			for range 6 {
+				f.read(r)
+				f.write(r, false, false)
+				f.now += 60
+			}
+		}
+		settle(f.routers[0])
+		f.began = began
+		f.replace(f.routers[0], true)
+		f.now += 500
+		f.read(f.routers[0])
+		inherits := 0
+		for _, e := range records(t, f.routers[0].wallet) {
+			if e.GetInherit() != nil {
+				inherits++
+			}
+		}
+		if want := began == 0; (inherits > 0) != want {
+			t.Errorf("a machine that began %d ms apart: expected inheritance %v, got %d records", began, want, inherits)
+		}
+	}
+}
+
 func TestAnotherMachineInheritsNothing(t *testing.T) {
 	t.Parallel()
 	l := kcrbudget.NewLedger(kcrbudget.DefaultLedgerRules())
--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -21,6 +21,7 @@
 	ID       kcrid.VM
 	Service  kcrid.Service
 	Addr     string
+	Home     string // address of the process of ours beside it, "" for none
 	Zone     kcrid.Zone
 	Slots    int
 	Draining bool
--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -147,6 +147,12 @@
 	return nil
 }
 
+// Engines tells whether the upstreams of a service are model engines.
+func (r *Rules) Engines(name kcrid.Service) bool {
+	s := r.Services[name]
+	return s != nil && s.KV > 0
+}
+
 // Team returns the team that holds a key, nil if there is none.
 func (r *Rules) Team(key string) *Team { return r.keys[key] }
 
--- a/link/kcrdaemon/boot.go
+++ b/link/kcrdaemon/boot.go
@@ -23,11 +23,12 @@
 	if id, err := os.ReadFile(bootID); err == nil {
 		machine = xxhash.Sum64(id)
 	}
-	return kcrbudget.Boot{Machine: machine, Now: func() kcrclock.Time {
+	now := func() kcrclock.Time {
 		var t unix.Timespec
 		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 			return 0
 		}
 		return kcrclock.Time(time.Duration(t.Nano()).Milliseconds())
-	}}
+	}
+	return kcrbudget.Boot{Machine: machine, Now: now, Began: kcrclock.Time(time.Now().UnixMilli()) - now()}
 }
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -33,6 +33,9 @@
 	Batch    func(limit int) ([][]byte, uint64)
 	Ready    func()
 	Carries  func() bool
+	// Pause returns the time between two reads, for folds that need not be
+	// fresh; it may be nil.
+	Pause func() time.Duration
 }
 
 // Timing and sizes of a follower.
@@ -121,6 +124,9 @@
 		}
 		f.take(page)
 		wait = readWait
+		if f.fold.Pause != nil {
+			Pause(ctx, f.fold.Pause())
+		}
 	}
 }
 
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -64,7 +64,8 @@
 	harm     *kcrharm.Book
 	gateway  *kcrgateway.Gateway
 	buckets  []*bucket
-	escrow   *signal
+	escrow   *kcrdaemon.Signal
+	homes    *homes
 	pool     *kcrlink.Pool
 	server   *kcrlink.Server
 	decode   func([]byte) (*kcrrule.Rules, error)
@@ -101,7 +102,8 @@
 		fleet:  kcrfleet.New(returnTime),
 		table:  kcrplace.New(c.Zone, c.Weights),
 		harm:   kcrharm.New(maxCrashes),
-		escrow: newSignal(),
+		escrow: kcrdaemon.NewSignal(),
+		homes:  newHomes(),
 		pool:   kcrlink.NewPool(),
 		decode: c.Decode,
 	}
@@ -165,6 +167,7 @@
 		if b.wallet.Unsent() {
 			b.follower.Kick()
 		}
+		n.tend(b)
 	}
 }
 
@@ -220,17 +223,25 @@
 	n.update()
 }
 
-// update hands the upstreams that may get work to the table.
+// update hands the upstreams that may get work to the table, and the processes
+// beside engines to the homes.
 func (n *Node) update() {
 	var ups []kcrplace.Upstream
+	var places []place
+	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
-		if !m.Draining {
-			ups = append(ups, kcrplace.Upstream{
-				ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Slots: m.Slots, Born: m.Born, Cold: m.Cold,
-			})
+		if m.Draining {
+			continue
+		}
+		ups = append(ups, kcrplace.Upstream{
+			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Slots: m.Slots, Born: m.Born, Cold: m.Cold,
+		})
+		if rules != nil && m.Home != "" && rules.Engines(m.Service) {
+			places = append(places, place{vm: m.ID, addr: m.Home})
 		}
 	}
 	n.table.Update(n.clock.Now(), ups)
+	n.homes.update(places)
 }
 
 // Ready tells whether the node can serve callers.
@@ -252,6 +263,9 @@
 	}
 	n.gateway.Stop(serving, settleTime)
 	for _, b := range n.buckets {
+		for _, a := range b.wallet.Excess(true) {
+			n.giveBack(b, a)
+		}
 		b.wallet.Retire(n.clock.Now())
 		b.follower.Kick()
 	}
@@ -261,6 +275,20 @@
 	n.cancel()
 }
 
+// Kill ends the node as the end of its process would: connections end, and
+// nothing is given back. It is there for tests.
+func (n *Node) Kill() {
+	n.cancel()
+	n.gateway.Close()
+	for _, b := range n.buckets {
+		b.follower.Close()
+	}
+	if n.server != nil {
+		n.server.Close()
+	}
+	n.pool.Close()
+}
+
 // flushTime is left of the time for a planned stop to give escrow back.
 const flushTime = 400 * time.Millisecond
 
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -11,8 +11,7 @@
 	"kingcuprun.example/link/kcrwire"
 )
 
-// This file serves the other routers and asks them: for escrow, and for the
-// configuration while the store does not tell it, and for the members where the
+// This file serves the other routers and asks them: for the configuration while the store does not tell it, and for the members where the
 // store was never heard of. Of configurations only a higher version counts,
 // whoever tells it; members that the store has told stay as they are.
 
@@ -34,12 +33,10 @@
 func (n *Node) call(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
 	var reply *kcrwire.Reply
 	switch k := req.GetKind().(type) {
-	case *kcrwire.Request_Lend:
-		reply = n.lend(k.Lend)
 	case *kcrwire.Request_Lists:
 		reply = n.listed(k.Lists)
 	default:
-		reply = &kcrwire.Reply{Error: "expected lend or lists"}
+		reply = &kcrwire.Reply{Error: "expected lists"}
 	}
 	if err := s.Send(reply); err != nil {
 		n.logger.Info("peer not answered", "err", err.Error())
