A home stays where it is while its engine crashes and starts anew

Change: homes are places by address; one whose engine vanished without saying that it leaves counts for 30 s more; one that stays silent is asked less and less.

--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -13,54 +13,75 @@
 // escrow. All routers that see the same members rank them alike, and each passes
 // over those that did not answer it a moment ago.
 
-// place is where a home can be.
-type place struct {
-	vm   kcrid.VM
-	addr string
-}
-
-// homes are the places that this router knows. It is safe for concurrent use.
+// homes are the places that this router knows, by address: an engine that starts
+// anew has another name, but the process beside it goes on. It is safe for
+// concurrent use.
 type homes struct {
 	mu     sync.Mutex
-	places []place
-	down   map[kcrid.VM]kcrclock.Time
+	places map[string]*place
 }
 
-// Times for which a place is passed over.
+// place is where a home can be.
+type place struct {
+	missing bool          // no upstream is known there any more
+	since   kcrclock.Time // then
+	down    kcrclock.Time // passed over until then
+	pause   kcrclock.Duration
+}
+
+// Times of places.
 const (
-	refusedPause = 300 * kcrclock.Millisecond // nobody listens there
+	// refusedPause is how long a place is passed over where nobody listens, and
+	// silentPause one that does not answer; that doubles up to mostPause.
+	refusedPause = 300 * kcrclock.Millisecond
 	silentPause  = kcrclock.Second
+	mostPause    = 8 * kcrclock.Second
+	// missingTime is how long a place counts whose upstream is gone without
+	// having said that it leaves: it may have crashed.
+	missingTime = 30 * kcrclock.Second
 	// mostPlaces is how many places are asked for one request.
 	mostPlaces = 3
 )
 
-func newHomes() *homes { return &homes{down: map[kcrid.VM]kcrclock.Time{}} }
+func newHomes() *homes { return &homes{places: map[string]*place{}} }
 
-// update replaces the places.
-func (h *homes) update(places []place) {
+// update takes in the addresses beside upstreams, and those beside upstreams
+// that leave.
+func (h *homes) update(now kcrclock.Time, addrs, leaving []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.places = places
-	for vm := range h.down {
-		if !slices.ContainsFunc(places, func(p place) bool { return p.vm == vm }) {
-			delete(h.down, vm)
+	for _, p := range h.places {
+		if !p.missing {
+			p.missing, p.since = true, now
+		}
+	}
+	for _, addr := range addrs {
+		if h.places[addr] == nil {
+			h.places[addr] = &place{}
+		}
+		h.places[addr].missing = false
+	}
+	for _, addr := range leaving {
+		delete(h.places, addr)
+	}
+	for addr, p := range h.places {
+		if p.missing && now.Sub(p.since) > missingTime {
+			delete(h.places, addr)
 		}
 	}
 }
 
-// ranked returns the places to ask for a bucket, first choice first.
-func (h *homes) ranked(now kcrclock.Time, b kcrid.Bucket) (out []place) {
+// ranked returns the addresses to ask for a bucket, first choice first.
+func (h *homes) ranked(now kcrclock.Time, b kcrid.Bucket) (out []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, p := range h.places {
-		if now >= h.down[p.vm] {
-			out = append(out, p)
+	for addr, p := range h.places {
+		if now >= p.down {
+			out = append(out, addr)
 		}
 	}
 	item := string(kcrid.BudgetStream(b))
-	slices.SortFunc(out, func(x, y place) int {
-		return cmp.Compare(kcrid.Ranked(item, string(y.vm)), kcrid.Ranked(item, string(x.vm)))
-	})
+	slices.SortFunc(out, func(x, y string) int { return cmp.Compare(kcrid.Ranked(item, y), kcrid.Ranked(item, x)) })
 	return out[:min(len(out), mostPlaces)]
 }
 
@@ -71,9 +92,30 @@
 	return len(h.places) > 0
 }
 
-// pass notes that a place did not answer.
-func (h *homes) pass(now kcrclock.Time, vm kcrid.VM, d kcrclock.Duration) {
+// refused notes that nobody listens at a place.
+func (h *homes) refused(now kcrclock.Time, addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.places[addr]; p != nil {
+		p.down = now.Add(refusedPause)
+	}
+}
+
+// silent notes that a place did not answer.
+func (h *homes) silent(now kcrclock.Time, addr string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.down[vm] = now.Add(d)
+	if p := h.places[addr]; p != nil {
+		p.pause = min(max(silentPause, 2*p.pause), mostPause)
+		p.down = now.Add(p.pause)
+	}
+}
+
+// answered notes that a place did answer.
+func (h *homes) answered(addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.places[addr]; p != nil {
+		p.pause, p.down = 0, 0
+	}
 }
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -227,21 +227,22 @@
 // beside engines to the homes.
 func (n *Node) update() {
 	var ups []kcrplace.Upstream
-	var places []place
+	var homes, leaving []string
 	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
 		if m.Draining {
+			leaving = append(leaving, m.Home)
 			continue
 		}
 		ups = append(ups, kcrplace.Upstream{
 			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Slots: m.Slots, Born: m.Born, Cold: m.Cold,
 		})
 		if rules != nil && m.Home != "" && rules.Engines(m.Service) {
-			places = append(places, place{vm: m.ID, addr: m.Home})
+			homes = append(homes, m.Home)
 		}
 	}
 	n.table.Update(n.clock.Now(), ups)
-	n.homes.update(places)
+	n.homes.update(n.clock.Now(), homes, leaving)
 }
 
 // Ready tells whether the node can serve callers.
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -232,8 +232,8 @@
 		defer b.end(plan)
 		now := n.clock.Now()
 		need, want := b.wallet.Short(now, plan, worst)
-		for _, p := range n.homes.ranked(now, b.number) {
-			if n.borrowFrom(p, b, plan, need, want, worst) {
+		for _, addr := range n.homes.ranked(now, b.number) {
+			if n.borrowFrom(addr, b, plan, need, want, worst) {
 				return
 			}
 		}
@@ -255,33 +255,34 @@
 }
 
 // borrowFrom asks one home, and tells whether it answered.
-func (n *Node) borrowFrom(p place, b *bucket, plan kcrid.Plan, need, want, worst kcrid.Tokens) bool {
-	loan, err := n.ask(p, &kcrwire.Lend{Plan: string(plan), Need: int64(need), Tokens: int64(want)})
+func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worst kcrid.Tokens) bool {
+	loan, err := n.ask(addr, &kcrwire.Lend{Plan: string(plan), Need: int64(need), Tokens: int64(want)})
 	now := n.clock.Now()
 	if err != nil {
-		pause := silentPause
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			pause = refusedPause
+			n.homes.refused(now, addr)
+		} else {
+			n.homes.silent(now, addr)
 		}
-		n.homes.pass(now, p.vm, pause)
-		n.logger.Warn("no loan", "plan", string(plan), "home", string(p.vm), "need", int64(need), "err", err.Error())
+		n.logger.Warn("no loan", "plan", string(plan), "home", addr, "need", int64(need), "err", err.Error())
 		return false
 	}
+	n.homes.answered(addr)
 	b.answered(now, plan, worst, loan, 2*loan.Tokens < want)
 	if loan.Tokens > 0 {
 		b.wallet.Borrow(plan, loan.Tokens)
 	}
 	b.wallet.Left(now, plan, loan.Left)
-	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", string(p.vm), "tokens", int64(loan.Tokens),
+	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
 		"need", int64(need), "wanted", int64(want), "left", int64(loan.Left), "code", loan.Code.String())
 	return true
 }
 
 // ask makes one call to a home.
-func (n *Node) ask(p place, req *kcrwire.Lend) (loan kcrbudget.Loan, err error) {
+func (n *Node) ask(addr string, req *kcrwire.Lend) (loan kcrbudget.Loan, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), lendTime)
 	defer cancel()
-	reply, err := n.pool.Call(ctx, p.addr, &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
+	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
 	if err != nil {
 		return loan, err
 	}
@@ -307,14 +308,14 @@
 // giveBack returns what was borrowed to a home, not always the one that lent
 // it. What is on its way when the connection fails is lost.
 func (n *Node) giveBack(b *bucket, a kcrbudget.Amount) {
-	for _, p := range n.homes.ranked(n.clock.Now(), b.number) {
-		_, err := n.ask(p, &kcrwire.Lend{Plan: string(a.Plan), Back: int64(a.Tokens)})
+	for _, addr := range n.homes.ranked(n.clock.Now(), b.number) {
+		_, err := n.ask(addr, &kcrwire.Lend{Plan: string(a.Plan), Back: int64(a.Tokens)})
 		if err == nil {
-			n.logger.Info("escrow", "what", "returned", "plan", string(a.Plan), "holder", string(p.vm), "tokens", int64(a.Tokens))
+			n.logger.Info("escrow", "what", "returned", "plan", string(a.Plan), "holder", addr, "tokens", int64(a.Tokens))
 			return
 		}
 		if !errors.Is(err, kcrlink.ErrUnsent) {
-			n.logger.Warn("escrow lost on its way back", "plan", string(a.Plan), "holder", string(p.vm), "tokens", int64(a.Tokens), "err", err.Error())
+			n.logger.Warn("escrow lost on its way back", "plan", string(a.Plan), "holder", addr, "tokens", int64(a.Tokens), "err", err.Error())
 			return
 		}
 	}
