All schedules of a home and a router are explored; a claim in flight at a stop goes back

Test that failed first: TestClaimInFlightAtAStop.

Model check: bench/kcrproof drives the kernel's own wallets (a home that lends, a router, one stream) through every schedule of so many moves: late and doubled appends, lost loans and returns, kills, losses of power, limits that rise and fall.

--- a/bench/kcrproof/proof.go
+++ b/bench/kcrproof/proof.go
@@ -58,6 +58,7 @@
 			faults: "frames late, doubled, reordered, missing, of other attempts",
 			rules:  kcranswer.DefaultSpliceRules(), mutants: SpliceMutants(), check: Splice, steps: spliceRounds,
 		}.prove},
+		{"escrow", proveEscrow},
 		{"once", subject[kcrintent.Rules]{
 			name:   "a non-idempotent call runs at most once; \"not run\" did not run",
 			faults: "kill, freeze between check and call, cut, log down, answer lost, late copies",
--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -136,7 +136,7 @@
 		msg := &kcrentry.Inherit{Holder: string(name)}
 		for p, g := range h.Grants {
 			since := w.startBoot.Sub(g.Bound.Boot)
-			if g.Bound.Boot == 0 || !w.boot.same(g.Bound) || since < 0 || since > maxHeirTime {
+			if g.Bound.Boot == 0 || !w.rules.Same(w.boot, g.Bound) || since < 0 || since > maxHeirTime {
 				continue
 			}
 			used := max(0, min(g.Amount, g.Bound.after(since)))
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -1,10 +1,15 @@
 package kcrbudget
 
 import (
+	"fmt"
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
@@ -26,7 +31,7 @@
 	borrows bool
 	boot    Boot
 	policy  Policy
-	fits    func(free, worst kcrid.Tokens) bool
+	rules   WalletRules
 
 	mu        sync.Mutex
 	ledger    *Ledger
@@ -114,8 +119,7 @@
 	ratioWeight = 0.05
 )
 
-// WalletConfig is what a Wallet is made of. Fits decides whether a reservation
-// fits into what is free. A wallet that borrows leaves it to its driver where
+// WalletConfig is what a Wallet is made of. A wallet that borrows leaves it to its driver where
 // escrow comes from: it claims only by Claim, and by its policy.
 type WalletConfig struct {
 	Self        kcrid.Incarnation
@@ -125,11 +129,27 @@
 	Started     kcrclock.Time // of the process, on the clock of Boot; 0 for now
 	LedgerRules LedgerRules
 	Policy      Policy
-	Fits        func(free, worst kcrid.Tokens) bool
+	Rules       WalletRules
 }
 
-// Fits tells whether a reservation fits: the rule that holds in production.
-func Fits(free, worst kcrid.Tokens) bool { return free >= worst }
+// WalletRules are the decisions of a wallet that a test can take out.
+type WalletRules struct {
+	// Fits tells whether tokens fit into what is free.
+	Fits func(free, tokens kcrid.Tokens) bool
+	// Within tells whether what is exposed keeps to the bounds.
+	Within func(exposed, bound kcrid.Tokens) bool
+	// Same tells whether a bound was made in this run of the machine.
+	Same func(b Boot, o Bound) bool
+}
+
+// DefaultWalletRules returns the rules that hold in production.
+func DefaultWalletRules() WalletRules {
+	return WalletRules{
+		Fits:   func(free, tokens kcrid.Tokens) bool { return free >= tokens },
+		Within: func(exposed, bound kcrid.Tokens) bool { return exposed <= bound },
+		Same:   Boot.same,
+	}
+}
 
 // NewWallet returns a wallet that knows nothing of its bucket. It gives no
 // reservation until Ready is called after the stream was applied to its end.
@@ -147,7 +167,7 @@
 		startBoot: c.Started,
 
 		policy:  c.Policy,
-		fits:    c.Fits,
+		rules:   c.Rules,
 		ledger:  NewLedger(c.LedgerRules),
 		outbox:  kcrlog.NewOutbox(c.Self),
 		pockets: map[kcrid.Plan]*pocket{},
@@ -300,9 +320,9 @@
 	}
 	po := w.pocket(p)
 	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
-	fits := w.fits(w.free(p, po), worst)
+	fits := w.rules.Fits(w.free(p, po), worst)
 	switch {
-	case fits && po.exposed(worst) <= po.cap(now):
+	case fits && w.rules.Within(po.exposed(worst), po.cap(now)):
 		po.reserved += worst
 		po.arrived += po.ratio * float64(worst)
 		w.refill(now, p, po, 0)
@@ -419,6 +439,9 @@
 		po.unmet = eff.Unmet > 0
 		po.unmetAt = now
 		po.bounded(e.GetSeq(), eff.Tokens > 0)
+		if w.retired { // it came too late
+			w.giveBack(now, kcrid.Plan(e.GetClaim().GetPlan()), po)
+		}
 	case e.GetMark() != nil:
 		po := w.pocket(kcrid.Plan(e.GetMark().GetPlan()))
 		po.backing -= po.backs[e.GetSeq()]
@@ -486,10 +509,10 @@
 	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
 	free := w.free(p, po)
 	left := max(0, w.ledger.Account(p).Available()+free)
-	if !w.fits(free, need) {
+	if !w.rules.Fits(free, need) {
 		return Loan{Code: w.claim(now, p, po, need), Left: left}
 	}
-	if po.exposed(need) > po.cap(now) {
+	if !w.rules.Within(po.exposed(need), po.cap(now)) {
 		w.raise(now, p, po, need)
 		return Loan{Code: Pending, Left: left}
 	}
@@ -644,9 +667,14 @@
 	defer w.mu.Unlock()
 	w.retired = true
 	for p, po := range w.pockets {
-		if free := w.free(p, po); free > 0 {
-			w.mark(now, p, po, free, 0)
-		}
+		w.giveBack(now, p, po)
+	}
+}
+
+// giveBack gives back what is not reserved.
+func (w *Wallet) giveBack(now kcrclock.Time, p kcrid.Plan, po *pocket) {
+	if free := w.free(p, po); free > 0 {
+		w.mark(now, p, po, free, 0)
 	}
 }
 
@@ -693,6 +721,27 @@
 	po.rateAt, po.arrived, po.before = now, 0, elsewhere
 }
 
+// Fingerprint hashes all that decides what the wallet will do: wallets with equal
+// ones behave alike. It is for checkers that explore schedules.
+func (w *Wallet) Fingerprint() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A hash takes everything, so no write to it fails.
+	h := xxhash.New()
+	_, state, err := w.ledger.Snapshot()
+	_, _ = h.Write(state)
+	_, _ = fmt.Fprint(h, err, w.ready, w.retired, w.markedAt, w.helloAt, w.heard, w.addrs)
+	records, last := w.outbox.Batch(math.MaxInt)
+	for _, r := range records {
+		_, _ = h.Write(r)
+	}
+	_, _ = fmt.Fprint(h, last)
+	for _, p := range slices.Sorted(maps.Keys(w.pockets)) {
+		_, _ = fmt.Fprintf(h, "%s %+v", p, *w.pockets[p])
+	}
+	return h.Sum64()
+}
+
 // LogEffect logs what a record did to the ledger, but for plain reports of
 // spending.
 func LogEffect(logger *slog.Logger, eff Effect, off kcrid.Offset) {
--- a/kernel/kcrbudget/wallet_test.go
+++ b/kernel/kcrbudget/wallet_test.go
@@ -17,13 +17,12 @@
 // rules are the decisions that a mutant takes out.
 type rules struct {
 	ledger kcrbudget.LedgerRules
-	fits   func(free, worst kcrid.Tokens) bool
-	// slack is how much faster than the machine's clock a mutant's bound grows.
-	boot func(kcrclock.Time) kcrclock.Time
+	wallet kcrbudget.WalletRules
+	boot   func(kcrclock.Time) kcrclock.Time
 }
 
 func sound() rules {
-	return rules{ledger: kcrbudget.DefaultLedgerRules(), fits: kcrbudget.Fits, boot: func(t kcrclock.Time) kcrclock.Time { return t }}
+	return rules{ledger: kcrbudget.DefaultLedgerRules(), wallet: kcrbudget.DefaultWalletRules(), boot: func(t kcrclock.Time) kcrclock.Time { return t }}
 }
 
 // longOutages make the schedules serve much, so that they have much to get wrong.
@@ -75,7 +74,7 @@
 	return &router{vm: vm, wallet: kcrbudget.NewWallet(kcrbudget.WalletConfig{
 		Self:        kcrid.IncarnationOf(kcrid.VM(fmt.Sprintf("vm-%d", vm)), fmt.Sprint(f.run)),
 		Boot:        kcrbudget.Boot{Now: func() kcrclock.Time { return f.rules.boot(f.now + 1000) }, Machine: uint64(vm + 1), Began: f.began},
-		LedgerRules: f.rules.ledger, Policy: kcrbudget.ForOutages(longOutages()), Fits: f.rules.fits,
+		LedgerRules: f.rules.ledger, Policy: kcrbudget.ForOutages(longOutages()), Rules: f.rules.wallet,
 	})}
 }
 
@@ -275,7 +274,7 @@
 			r.boot = func(kcrclock.Time) kcrclock.Time { return 1 }
 		},
 		"the machine's clock stands still": func(r *rules) { r.boot = func(kcrclock.Time) kcrclock.Time { return 1 } },
-		"reservations need not fit":        func(r *rules) { r.fits = func(_, _ kcrid.Tokens) bool { return true } },
+		"reservations need not fit":        func(r *rules) { r.wallet.Fits = func(_, _ kcrid.Tokens) bool { return true } },
 	}
 	for name, mutate := range mutants {
 		broken := false
@@ -419,3 +418,27 @@
 		t.Fatalf("expected 300 tokens prepaid, got %d", got)
 	}
 }
+
+// TestClaimInFlightAtAStop: escrow that is granted after the wallet retired goes
+// back too.
+func TestClaimInFlightAtAStop(t *testing.T) {
+	t.Parallel()
+	f := newFleet(sound(), 1, 200000)
+	r := f.routers[0]
+	f.read(r)
+	f.write(r, false, false) // the limit
+	f.read(r)
+	if code := r.wallet.Reserve(f.now, plan, 100); code != kcrbudget.Pending {
+		t.Fatalf("expected a claim to be under way, got %v", code)
+	}
+	f.write(r, false, false)
+	r.wallet.Retire(f.now)
+	for range 3 {
+		f.read(r)
+		f.write(r, false, false)
+	}
+	f.read(r)
+	if got := r.wallet.Holding(plan); got.Available != 200000 {
+		t.Fatalf("expected all of 200000 tokens available after the stop, got %+v", got)
+	}
+}
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -125,7 +125,7 @@
 	c := h.config
 	self := kcrid.Incarnation(fmt.Sprintf("%s.%d", c.Self, h.serial))
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
-		Self: self, Boot: c.Boot, Started: h.started, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Fits: kcrbudget.Fits,
+		Self: self, Boot: c.Boot, Started: h.started, LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: c.Escrow, Rules: kcrbudget.DefaultWalletRules(),
 	})
 	ho := &home{wallet: w, changed: kcrdaemon.NewSignal()}
 	ho.follower = kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(b), kcrdaemon.Fold{
