--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -90,6 +90,7 @@
 	Teams    []Team
 	routes   map[string]map[string]*Route // by host, by prefix
 	keys     map[string]*Team
+	names    map[kcrid.Team]*Team
 	longest  int
 }
 
@@ -101,11 +102,13 @@
 		Services: make(map[kcrid.Service]*Service, len(services)),
 		routes:   map[string]map[string]*Route{},
 		keys:     map[string]*Team{},
+		names:    make(map[kcrid.Team]*Team, len(teams)),
 	}
 	for i := range services {
 		r.Services[services[i].Name] = &services[i]
 	}
 	for i := range teams {
+		r.names[teams[i].Name] = &teams[i]
 		for _, key := range teams[i].Keys {
 			r.keys[key] = &teams[i]
 		}
@@ -156,6 +159,9 @@
 // Team returns the team that holds a key, nil if there is none.
 func (r *Rules) Team(key string) *Team { return r.keys[key] }
 
+// TeamNamed returns a team by its name, nil if there is none.
+func (r *Rules) TeamNamed(name kcrid.Team) *Team { return r.names[name] }
+
 // Pick returns the service that takes a request; point spreads requests over
 // the shares.
 func (r *Route) Pick(point uint64) kcrid.Service {
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -49,7 +49,7 @@
 	snapshotEvery = 2000 // records
 	// carryFactor is how many intervals a snapshot lasts without new records.
 	carryFactor  = 6
-	snapshotPart = 512 << 10
+	snapshotPart = 200 << 10 // bytes; a record of the platform's store takes 256 KB
 )
 
 // Follower keeps one fold up to date.
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -151,6 +151,9 @@
 	if ho == nil {
 		return &kcrwire.Reply{Error: "the home stops"}
 	}
+	if v := req.GetVersion(); v > 0 {
+		ho.wallet.Limit(p, v, kcrid.Tokens(req.GetPrepaid()))
+	}
 	out := &kcrwire.Lent{}
 	if back := kcrid.Tokens(req.GetBack()); back > 0 {
 		ho.wallet.Returned(p, back)
--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -18,6 +18,7 @@
 // concurrent use.
 type homes struct {
 	mu     sync.Mutex
+	known  bool // whether there are places
 	places map[string]*place
 }
 
@@ -50,6 +51,7 @@
 func (h *homes) update(now kcrclock.Time, addrs, leaving []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.known = true
 	for _, p := range h.places {
 		if !p.missing {
 			p.missing, p.since = true, now
@@ -85,8 +87,15 @@
 	return out[:min(len(out), mostPlaces)]
 }
 
-// any tells whether there is a place for a home at all.
-func (h *homes) any() bool {
+// none tells whether there is known to be no place for a home.
+func (h *homes) none() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.known && len(h.places) == 0
+}
+
+// some tells whether there is a place for a home.
+func (h *homes) some() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.places) > 0
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -159,9 +159,7 @@
 		n.logger.Info("upstreams did not come back", "ids", gone)
 		n.update()
 	}
-	if r := n.rules.Rules(); r != nil {
-		n.limit(r)
-	}
+	n.limits()
 	for _, b := range n.buckets {
 		b.wallet.Tick(now)
 		if b.wallet.Unsent() {
@@ -184,11 +182,20 @@
 		return nil
 	}
 	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services))
-	n.limit(r)
 	n.update()
+	n.limits()
 	return nil
 }
 
+// limits tells the ledgers what is prepaid where there is no home to do it.
+func (n *Node) limits() {
+	for _, b := range n.buckets {
+		if n.alone(b) {
+			n.limit(b)
+		}
+	}
+}
+
 // Heard tells that the store has answered.
 func (n *Node) Heard() { n.fleet.Heard(n.clock.Now()) }
 
@@ -242,7 +249,9 @@
 		}
 	}
 	n.table.Update(n.clock.Now(), ups)
-	n.homes.update(n.clock.Now(), homes, leaving)
+	if rules != nil && n.fleet.Known() {
+		n.homes.update(n.clock.Now(), homes, leaving)
+	}
 }
 
 // Ready tells whether the node can serve callers.
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -11,7 +11,6 @@
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
-	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
 	"kingcuprun.example/link/kcrwire"
@@ -55,7 +54,7 @@
 	aloneTime = 500 * kcrclock.Millisecond
 	// followPause is the time between two reads of a stream of budgets: what a
 	// router has to know in time, the homes tell it.
-	followPause = 100 * time.Millisecond
+	followPause = 300 * time.Millisecond
 )
 
 func (n *Node) bucketOf(team kcrid.Team) *bucket {
@@ -101,15 +100,31 @@
 	n.bucketOf(team).wallet.Settle(kcrid.Plan(team), worst, used)
 }
 
-// limit tells the wallets what is prepaid.
-func (n *Node) limit(r *kcrrule.Rules) {
+// limit tells the wallet of a bucket what is prepaid; where there are homes, it is
+// they who tell the ledger.
+func (n *Node) limit(b *bucket) {
+	r := n.rules.Rules()
+	if r == nil {
+		return
+	}
 	for i := range r.Teams {
-		if t := &r.Teams[i]; t.Prepaid >= 0 {
-			n.bucketOf(t.Name).wallet.Limit(kcrid.Plan(t.Name), r.Version, t.Prepaid)
+		if t := &r.Teams[i]; t.Prepaid >= 0 && n.bucketOf(t.Name) == b {
+			b.wallet.Limit(kcrid.Plan(t.Name), r.Version, t.Prepaid)
 		}
 	}
 }
 
+// lend returns the call for a loan, which tells the home what is prepaid.
+func (n *Node) lend(plan kcrid.Plan, need, want kcrid.Tokens) *kcrwire.Lend {
+	out := &kcrwire.Lend{Plan: string(plan), Need: int64(need), Tokens: int64(want)}
+	if r := n.rules.Rules(); r != nil {
+		if t := r.TeamNamed(kcrid.Team(plan)); t != nil && t.Prepaid >= 0 {
+			out.Version, out.Prepaid = r.Version, int64(t.Prepaid)
+		}
+	}
+	return out
+}
+
 // newBucket starts to follow the stream of a bucket.
 func (n *Node) newBucket(c Config, i int) *bucket {
 	b := &bucket{number: kcrid.Bucket(i), asking: map[kcrid.Plan]bool{}, dry: map[kcrid.Plan]refusal{}, rest: map[kcrid.Plan]kcrclock.Time{}}
@@ -210,15 +225,15 @@
 // alone tells whether there is no home to borrow from, or none has answered for
 // a time: then this router holds escrow of its own.
 func (n *Node) alone(b *bucket) bool {
-	return !n.homes.any() || b.failingFor(n.clock.Now()) > aloneTime
+	return n.homes.none() || b.failingFor(n.clock.Now()) > aloneTime
 }
 
 // followPause returns the time between two reads of a stream of budgets.
 func (n *Node) followPause(b *bucket) time.Duration {
-	if n.alone(b) {
-		return 0
+	if n.homes.some() && !n.alone(b) {
+		return followPause
 	}
-	return followPause
+	return 0
 }
 
 // borrow asks the home of a bucket for what a request lacks, or for the next
@@ -238,6 +253,7 @@
 			}
 		}
 		b.failed(now)
+		n.limit(b)
 		if worst > 0 {
 			n.claim(b, plan, worst)
 		}
@@ -256,7 +272,7 @@
 
 // borrowFrom asks one home, and tells whether it answered.
 func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worst kcrid.Tokens) bool {
-	loan, err := n.ask(addr, &kcrwire.Lend{Plan: string(plan), Need: int64(need), Tokens: int64(want)})
+	loan, err := n.ask(addr, n.lend(plan, need, want))
 	now := n.clock.Now()
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
