--- a/router/kcrgateway/dialect.go
+++ b/router/kcrgateway/dialect.go
@@ -1,5 +1,7 @@
 package kcrgateway
 
+import "kingcuprun.example/kernel/kcrclock"
+
 // This file defines the names that a deployment gives to what travels beside a
 // request. The gateway knows what they hold and not what they are called.
 
@@ -19,6 +21,9 @@
 	Urgency   string // 0 goes first at an engine
 	// Ours are further fields that only the system sets.
 	Ours []string
+	// Patience returns how long callers wait for the next event of a stream of a
+	// route with such an aim and such a longest pause; nil where it is not known.
+	Patience func(aim, pause kcrclock.Duration) kcrclock.Duration
 }
 
 // statusMisdirected is the answer of an upstream that is not the one meant.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -30,10 +30,14 @@
 	return kcrgateway.Dialect{
 		ID: "X-Id", Key: "X-Key", Team: "X-Team", Deadline: "X-Deadline", Instance: "X-Instance", Usage: "X-Usage",
 		Parts: "X-Parts", Resume: "X-Resume", Signature: "X-Signature", NotRun: "X-Not-Run", Retry: "Retry-After", Urgency: "X-Urgency",
-		Ours: []string{"X-Hold"},
+		Ours:     []string{"X-Hold"},
+		Patience: func(_, _ kcrclock.Duration) kcrclock.Duration { return kcrclock.Duration(patience.Milliseconds()) },
 	}
 }
 
+// patience is how long callers wait for the next event of a stream.
+const patience = 800 * time.Millisecond
+
 // upstream is a scripted upstream: answer gets each request and writes to the
 // connection. It returns whether the connection goes on.
 type upstream struct {
@@ -731,3 +735,43 @@
 		t.Errorf("expected the whole stream, got %q", body)
 	}
 }
+
+// TestDeadEngineOfAStreamThatStays: a stream that must not go on elsewhere is given
+// up before its caller gives up, if its engine takes no connection any more.
+func TestDeadEngineOfAStreamThatStays(t *testing.T) {
+	t.Parallel()
+	for _, from := range []int{0, 2} {
+		var dead *upstream
+		dead = newUpstream(t, "a", func(_ int, req request, conn net.Conn) bool {
+			if from > 0 {
+				stream(conn, req.id(), 1, from)
+			}
+			_ = dead.listener.Close()
+			time.Sleep(2 * time.Second)
+			return false
+		})
+		r := newRig(t, dead)
+		start := time.Now()
+		head, body, err := ask(t, r, "/stream/1", "")
+		if took := time.Since(start); took > patience {
+			t.Errorf("after %d events: expected an end before %v, took %v", from, patience, took)
+		}
+		switch {
+		case from == 0 && (err != nil || head.Status != 502):
+			t.Errorf("without an event: expected 502, got %+v %v", head, err)
+		case from > 0 && err == nil:
+			t.Errorf("after %d events: expected a stream that looks broken, got %q", from, body)
+		}
+	}
+	slow := newUpstream(t, "a", func(_ int, req request, conn net.Conn) bool {
+		stream(conn, req.id(), 1, 2)
+		time.Sleep(patience + 200*time.Millisecond) // but it lives
+		_, _ = conn.Write(kcrhttp.AppendChunk(nil, []byte(event(3))))
+		_, err := io.WriteString(conn, kcrhttp.LastChunk)
+		return err == nil
+	})
+	r := newRig(t, slow)
+	if _, body, err := ask(t, r, "/stream/1", ""); err != nil || body != events(3) {
+		t.Errorf("expected the slow engine's stream, got %q %v", body, err)
+	}
+}
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -28,7 +28,10 @@
 	// connections may be silent. Long prompts of others keep one silent for a
 	// while, and to go on elsewhere means to read the prompt again.
 	hungFactor = 2.5
-	readBuf    = 4096
+	// lastPart is the part of a caller's patience after which an engine whose
+	// stream can't go on elsewhere is asked: a dead one will not answer in time.
+	lastPart = 0.85
+	readBuf  = 4096
 )
 
 // stream is the answer to a streamed request, made of one run or several.
@@ -114,13 +117,32 @@
 	return ""
 }
 
-// until returns the moment up to which an event is waited for.
-func (s *stream) until(aim kcrclock.Duration, part float64) kcrclock.Time {
+// moves tells whether the stream may go on elsewhere.
+func (s *stream) moves() bool { return s.x.route.Resumable && s.x.runs < s.x.route.Attempts }
+
+// until returns the moment up to which an event is waited for before the engine
+// is asked: part of what it may take, or where the stream has to stay, most of
+// the caller's patience.
+func (s *stream) until(limit kcrclock.Duration, part float64) kcrclock.Time {
 	x := s.x
-	if !x.route.Resumable || x.runs >= x.route.Attempts || aim <= 0 {
+	patience := x.g.dialect.Patience
+	switch {
+	case s.moves() && limit > 0:
+		return min(x.deadline, x.g.clock.Now().Add(kcrclock.Duration(part*float64(limit))))
+	case !s.moves() && patience != nil:
+		wait := lastPart * float64(patience(x.route.Aim, x.route.Pause))
+		return min(x.deadline, x.g.clock.Now().Add(kcrclock.Duration(wait)))
+	default:
 		return x.deadline
 	}
-	return min(x.deadline, x.g.clock.Now().Add(kcrclock.Duration(part*float64(aim))))
+}
+
+// hung returns the moment at which an engine that lives is given up.
+func (s *stream) hung(since kcrclock.Time, limit kcrclock.Duration) kcrclock.Time {
+	if !s.moves() {
+		return s.x.deadline
+	}
+	return min(s.x.deadline, since.Add(kcrclock.Duration(hungFactor*float64(limit))))
 }
 
 // await waits for the head of the answer. An engine that sends none is asked
@@ -130,18 +152,17 @@
 	if v, why = t.await(until); why != timedOut || until >= s.x.deadline || dead(t.choice.Addr) {
 		return v, why
 	}
-	return t.await(s.until(s.x.route.Aim, hungFactor))
+	return t.await(s.hung(s.x.g.clock.Now(), s.x.route.Aim))
 }
 
 // silent tells whether an engine that sent nothing for limit is to be given up:
 // it is dead, or was silent for too long.
 func (s *stream) silent(t *try, since kcrclock.Time, limit kcrclock.Duration) bool {
-	now := s.x.g.clock.Now()
-	hung := kcrclock.Duration(hungFactor * float64(limit))
-	if s.x.left.Load() || now >= s.x.deadline || now.Sub(since) >= hung || dead(t.choice.Addr) {
+	now, hung := s.x.g.clock.Now(), s.hung(since, limit)
+	if s.x.left.Load() || now >= hung || dead(t.choice.Addr) {
 		return true
 	}
-	t.readUntil(min(s.x.deadline, since.Add(hung)))
+	t.readUntil(hung)
 	return false
 }
 
