--- a/kingcuprun/kcrstory/day.go
+++ b/kingcuprun/kcrstory/day.go
@@ -42,6 +42,75 @@
 	slowest(w, "longest to the answer or its first event", requests, func(e line) int64 { return e.First })
 	slowest(w, "longest pause in a stream", requests, func(e line) int64 { return e.Pause })
 	l.outages(w)
+	l.budgets(w, requests)
+}
+
+// budget is what a day's lines tell of a team's budget.
+type budget struct {
+	prepaid int64
+	at      uint64 // offset of the record that set it
+	spent   int64
+	refused int
+	first   time.Time // refusal
+}
+
+// limitedWhat names the record that sets what is prepaid, and budgetWhy begins the
+// reasons of refusals for lack of budget.
+const (
+	limitedWhat = "limited"
+	budgetWhy   = "the budget"
+)
+
+// budgets prints for each team what it had paid, what it spent, and what lay idle
+// of it where requests were refused: escrow that was lost, or too little for any
+// request.
+func (l *Log) budgets(w io.Writer, requests []line) {
+	teams := map[string]*budget{}
+	for _, e := range l.lines {
+		if e.Msg != escrowMsg || e.What != limitedWhat {
+			continue
+		}
+		if teams[e.Plan] == nil {
+			teams[e.Plan] = &budget{}
+		}
+		if b := teams[e.Plan]; e.Offset >= b.at {
+			b.prepaid, b.at = e.Tokens, e.Offset
+		}
+	}
+	for _, e := range requests {
+		b := teams[e.Team]
+		if b == nil {
+			continue
+		}
+		b.spent += e.Spent
+		if strings.HasPrefix(e.Why, budgetWhy) {
+			if b.refused == 0 {
+				b.first = e.Time
+			}
+			b.refused++
+		}
+	}
+	printBudgets(w, teams)
+}
+
+func printBudgets(w io.Writer, teams map[string]*budget) {
+	if len(teams) == 0 {
+		return
+	}
+	var names []string
+	for name := range teams {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	_, _ = fmt.Fprintln(w, "budgets in tokens")
+	for _, name := range names {
+		b := teams[name]
+		_, _ = fmt.Fprintf(w, "  %s  prepaid %d, spent %d (%.1f%%)", name, b.prepaid, b.spent, 100*float64(b.spent)/float64(max(1, b.prepaid)))
+		if b.refused > 0 {
+			_, _ = fmt.Fprintf(w, ", %d refused from %s on with %d not spent", b.refused, b.first.Format(clockForm), b.prepaid-b.spent)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
 }
 
 // tally prints how often each text occurs, the most frequent first. An empty
--- a/kingcuprun/kcrstory/story.go
+++ b/kingcuprun/kcrstory/story.go
@@ -43,6 +43,8 @@
 	Pause   int64     `json:"pause"`
 	Events  int       `json:"events"`
 	Prompt  int64     `json:"prompt"`
+	Spent   int64     `json:"spent"`
+	Offset  uint64    `json:"offset"`
 	Tries   string    `json:"tries"`
 	Version uint64    `json:"version"`
 	Topic   string    `json:"topic"`
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -127,6 +127,7 @@
 	service  kcrid.Service
 	stride   kcrid.Tokens // most tokens of an event, 0 where there are none
 	usage    usage
+	spent    kcrid.Tokens // of the team's budget
 	deadline kcrclock.Time
 	content  kcrid.Content
 	attempts []attempt
--- a/router/kcrgateway/handle.go
+++ b/router/kcrgateway/handle.go
@@ -40,9 +40,9 @@
 // handle answers the request.
 func (x *exchange) handle() {
 	if x.admit() && x.reserve() {
-		used := x.forward()
+		x.spent = x.forward()
 		if x.metered() {
-			x.g.config.Purse.Settle(x.team.Name, x.usage.worst(), used)
+			x.g.config.Purse.Settle(x.team.Name, x.usage.worst(), x.spent)
 		}
 	}
 	x.log()
--- a/router/kcrgateway/reply.go
+++ b/router/kcrgateway/reply.go
@@ -150,7 +150,7 @@
 		slog.String("req", x.id), slog.String("team", x.teamName()), slog.String("route", route), slog.Uint64("config", version),
 		slog.String("service", string(x.service)), slog.String("outcome", x.outcome), slog.String("why", x.text),
 		slog.Int64("ms", int64(took)), slog.Int64("first", int64(x.first)), slog.Int("events", x.events), slog.Int64("pause", int64(x.pause)),
-		slog.Int64("prompt", int64(x.usage.prompt)), slog.String("tries", tries(x.attempts)))
+		slog.Int64("prompt", int64(x.usage.prompt)), slog.Int64("spent", int64(x.spent)), slog.String("tries", tries(x.attempts)))
 }
 
 // Outcomes of requests in logs and metrics, besides status codes of our own.
