--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -104,8 +104,8 @@
 		},
 		Bound: func(v View) (room, rate kcrid.Tokens) {
 			if v.Young {
-				room = kcrid.Tokens(o.First * float64(v.Prepaid))
-				return room, room
+				first := kcrid.Tokens(o.First * float64(v.Prepaid))
+				return first + v.Worst, first
 			}
 			return kcrid.Tokens(v.Rate*o.Room.Seconds()) + v.Worst, kcrid.Tokens(o.Growth*v.Rate + o.Floor*float64(v.Prepaid))
 		},
