Routers follow streams of budgets only while they are alone

What a router has to know of budgets, the homes tell it.

Change: what routers tell each other (that they live, requests that crash engines) has a stream of its own (kcrpeer), of which only new records matter. A bucket's stream is followed where no home answers, and left 10 s after homes answer again and the router holds no grant.

--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -27,7 +27,6 @@
 // safe for concurrent use.
 type Wallet struct {
 	self    kcrid.Incarnation
-	addr    string
 	borrows bool
 	boot    Boot
 	policy  Policy
@@ -40,10 +39,8 @@
 	ready     bool
 	retired   bool
 	markedAt  kcrclock.Time
-	helloAt   kcrclock.Time
 	pockets   map[kcrid.Plan]*pocket
 	heard     map[kcrid.Incarnation]kcrclock.Time
-	addrs     map[kcrid.Incarnation]string
 }
 
 // pocket is what the wallet knows of its grant for one plan.
@@ -92,12 +89,6 @@
 	// quietTime is how long a holder may be silent before what it holds is
 	// taken to be out of use.
 	quietTime = 6 * kcrclock.Second
-	// nearTime is how long a holder is asked for escrow after it was last heard
-	// of; an outage of the log silences all of them.
-	nearTime = 30 * kcrclock.Second
-	// helloTime is the time between two records of a holder's address, well
-	// below the time for which the log keeps them.
-	helloTime = 5 * kcrclock.Second
 	// borrowTime is the demand that a borrower wants to have at hand. It is lost
 	// where the borrower dies, and saves a call for most requests.
 	borrowTime = 400 * kcrclock.Millisecond
@@ -123,7 +114,6 @@
 // escrow comes from: it claims only by Claim, and by its policy.
 type WalletConfig struct {
 	Self        kcrid.Incarnation
-	Addr        string // for calls of other holders, "" for none
 	Borrows     bool
 	Boot        Boot
 	Started     kcrclock.Time // of the process, on the clock of Boot; 0 for now
@@ -159,7 +149,6 @@
 	}
 	return &Wallet{
 		self: c.Self,
-		addr: c.Addr,
 		boot: c.Boot,
 
 		borrows: c.Borrows,
@@ -172,7 +161,6 @@
 		outbox:  kcrlog.NewOutbox(c.Self),
 		pockets: map[kcrid.Plan]*pocket{},
 		heard:   map[kcrid.Incarnation]kcrclock.Time{},
-		addrs:   map[kcrid.Incarnation]string{},
 	}
 }
 
@@ -186,6 +174,26 @@
 	}
 }
 
+// Unready tells the wallet that its ledger is no longer kept up to date: it gives
+// only what it has borrowed until Ready is called again.
+func (w *Wallet) Unready() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ready = false
+}
+
+// Empty tells whether the wallet holds no grant and has nothing to say.
+func (w *Wallet) Empty() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for p := range w.pockets {
+		if w.ledger.Grant(w.self, p).Amount > 0 {
+			return false
+		}
+	}
+	return w.outbox.Len() == 0
+}
+
 // At returns the offset of the last record applied.
 func (w *Wallet) At() kcrid.Offset {
 	w.mu.Lock()
@@ -214,13 +222,6 @@
 	return w.outbox.Batch(limit)
 }
 
-// Post puts a record of another kind on the stream.
-func (w *Wallet) Post(e *kcrentry.Entry) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.outbox.Put(e)
-}
-
 func (w *Wallet) pocket(p kcrid.Plan) *pocket {
 	po, ok := w.pockets[p]
 	if !ok {
@@ -245,20 +246,6 @@
 	return sum
 }
 
-// Peers returns how many holders that take calls, itself included, were heard
-// of lately.
-func (w *Wallet) Peers(now kcrclock.Time) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := 1
-	for name := range w.addrs {
-		if name != w.self && now.Sub(w.heard[name]) < quietTime {
-			n++
-		}
-	}
-	return n
-}
-
 // Carries tells whether this holder is the one that writes snapshots: the first
 // by name of those that were heard of lately.
 func (w *Wallet) Carries(now kcrclock.Time) bool {
@@ -410,9 +397,6 @@
 	if w.ready { // older records tell nothing about who lives
 		w.heard[writer] = now
 	}
-	if hello := e.GetHello(); hello != nil {
-		w.addrs[writer] = hello.GetAddr()
-	}
 	if writer == w.self {
 		w.confirm(now, eff, e)
 		return eff
@@ -610,24 +594,6 @@
 	return out
 }
 
-// Peer is another holder that takes calls.
-type Peer struct {
-	Holder kcrid.Incarnation
-	Addr   string
-}
-
-// Near returns the holders that were heard of lately, and where.
-func (w *Wallet) Near(now kcrclock.Time) (out []Peer) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for name, addr := range w.addrs {
-		if name != w.self && now.Sub(w.heard[name]) < nearTime {
-			out = append(out, Peer{Holder: name, Addr: addr})
-		}
-	}
-	return out
-}
-
 // Tick does what is due: it refills, gives excess back, and reports spending.
 func (w *Wallet) Tick(now kcrclock.Time) {
 	w.mu.Lock()
@@ -635,10 +601,6 @@
 	if !w.ready || w.retired {
 		return
 	}
-	if w.addr != "" && (w.helloAt == 0 || now.Sub(w.helloAt) >= helloTime) {
-		w.helloAt = max(now, 1)
-		w.outbox.Put(&kcrentry.Entry{Kind: &kcrentry.Entry_Hello{Hello: &kcrentry.Hello{Addr: w.addr}}})
-	}
 	due := now.Sub(w.markedAt) >= walletMark && w.outbox.Len() == 0
 	for p, po := range w.pockets {
 		po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
@@ -730,7 +692,7 @@
 	h := xxhash.New()
 	_, state, err := w.ledger.Snapshot()
 	_, _ = h.Write(state)
-	_, _ = fmt.Fprint(h, err, w.ready, w.retired, w.markedAt, w.helloAt, w.heard, w.addrs)
+	_, _ = fmt.Fprint(h, err, w.ready, w.retired, w.markedAt, w.heard)
 	records, last := w.outbox.Batch(math.MaxInt)
 	for _, r := range records {
 		_, _ = h.Write(r)
--- a/kernel/kcrid/id.go
+++ b/kernel/kcrid/id.go
@@ -80,6 +80,9 @@
 // IntentStream returns the stream that holds the intents of a service.
 func IntentStream(s Service) Stream { return Stream("intent-" + string(s)) }
 
+// PeerStream holds what routers tell each other.
+const PeerStream Stream = "routers"
+
 // ConfigStream holds the two lists, leaving marks and suspect contents.
 const ConfigStream Stream = "config"
 
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -36,6 +36,8 @@
 	// Pause returns the time between two reads, for folds that need not be
 	// fresh; it may be nil.
 	Pause func() time.Duration
+	// Skips tells that records that retention has passed are not missed.
+	Skips bool
 }
 
 // Timing and sizes of a follower.
@@ -117,6 +119,9 @@
 			Pause(ctx, errorPause)
 			continue
 		}
+		if page.First > f.next && f.fold.Skips {
+			f.next = page.First
+		}
 		if page.First > f.next && !f.restore(ctx, page.First) {
 			f.logger.Error("state is not knowable: retention has passed it", "stream", f.stream, "need", f.next, "first", page.First)
 			Pause(ctx, time.Second)
@@ -266,9 +271,14 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context) {
-	if !f.due() {
-		return
+	if f.due() {
+		f.Carry(ctx)
 	}
+}
+
+// Carry writes a snapshot now. Besides the follower itself, only who has closed it
+// may call it.
+func (f *Follower) Carry(ctx context.Context) {
 	at, state, err := f.fold.Snapshot()
 	if err != nil {
 		f.logger.Error("snapshot failed", "stream", f.stream, "err", err)
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -219,6 +219,7 @@
 		kcrdaemon.Pause(ctx, flushPoll)
 	}
 	ho.follower.Close()
+	ho.follower.Carry(ctx) // nobody may follow the stream for long
 }
 
 // Stop is a planned stop: it gives all escrow back, as far as the context
--- a/router/kcrhome/home_test.go
+++ b/router/kcrhome/home_test.go
@@ -12,6 +12,7 @@
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
 	"kingcuprun.example/link/kcrwire"
 	"kingcuprun.example/router/kcrhome"
@@ -124,6 +125,11 @@
 	if ctx.Err() != nil {
 		t.Fatal("expected the stop to end in time")
 	}
+	stream := kcrid.BudgetStream(0)
+	end := kcrid.Offset(len(m.streams[stream]))
+	if whole := kcrdaemon.ReadSnapshots(t.Context(), m.log(), kcrid.SnapStream(stream)); whole[end] == nil {
+		t.Fatalf("expected a snapshot as of %d, since nobody follows the stream, got %d others", end, len(whole))
+	}
 }
 
 // BenchmarkLoan is a loan over loopback, both sides included.
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -23,6 +23,7 @@
 	"kingcuprun.example/kernel/kcrharm"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrpeer"
 	"kingcuprun.example/kernel/kcrplace"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrdaemon"
@@ -64,6 +65,8 @@
 	harm     *kcrharm.Book
 	gateway  *kcrgateway.Gateway
 	buckets  []*bucket
+	book     *kcrpeer.Book
+	told     *kcrdaemon.Follower // what other routers tell
 	escrow   *kcrdaemon.Signal
 	homes    *homes
 	pool     *kcrlink.Pool
@@ -104,6 +107,7 @@
 		harm:   kcrharm.New(maxCrashes),
 		escrow: kcrdaemon.NewSignal(),
 		homes:  newHomes(),
+		book:   kcrpeer.New(c.Self, c.Control),
 		pool:   kcrlink.NewPool(),
 		decode: c.Decode,
 	}
@@ -124,6 +128,7 @@
 	for i := range c.Buckets {
 		n.buckets = append(n.buckets, n.newBucket(c, i))
 	}
+	n.follow(c)
 	n.observe(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -134,23 +139,18 @@
 
 // routers returns how many routers share the retry budget.
 func (n *Node) routers() int {
-	most := 1
-	for _, b := range n.buckets {
-		most = max(most, b.wallet.Peers(n.clock.Now()))
-	}
-	if most == 1 {
-		return fewRouters
+	if most := n.book.Routers(n.clock.Now()); most > 1 {
+		return most
 	}
-	return most
+	return fewRouters
 }
 
 // crashed tells the other routers of a request that crashed an upstream.
 func (n *Node) crashed(content kcrid.Content, vm kcrid.VM) {
-	b := n.buckets[0]
-	b.wallet.Post(&kcrentry.Entry{Kind: &kcrentry.Entry_Suspect{Suspect: &kcrentry.Suspect{
+	n.book.Post(&kcrentry.Entry{Kind: &kcrentry.Entry_Suspect{Suspect: &kcrentry.Suspect{
 		Content: uint64(content), Server: string(vm),
 	}}})
-	b.follower.Kick()
+	n.told.Kick()
 }
 
 func (n *Node) tick() {
@@ -159,11 +159,16 @@
 		n.logger.Info("upstreams did not come back", "ids", gone)
 		n.update()
 	}
+	n.book.Tick(now)
+	if n.book.Unsent() {
+		n.told.Kick()
+	}
 	n.limits()
 	for _, b := range n.buckets {
+		n.detach(b)
 		b.wallet.Tick(now)
 		if b.wallet.Unsent() {
-			b.follower.Kick()
+			b.kick()
 		}
 		n.tend(b)
 	}
@@ -191,6 +196,7 @@
 func (n *Node) limits() {
 	for _, b := range n.buckets {
 		if n.alone(b) {
+			b.attach()
 			n.limit(b)
 		}
 	}
@@ -277,7 +283,7 @@
 			n.giveBack(b, a)
 		}
 		b.wallet.Retire(n.clock.Now())
-		b.follower.Kick()
+		b.kick()
 	}
 	n.flush(ctx)
 	n.logger.Info("stopped", "active", n.gateway.Active())
@@ -291,8 +297,9 @@
 	n.cancel()
 	n.gateway.Close()
 	for _, b := range n.buckets {
-		b.follower.Close()
+		b.close()
 	}
+	n.told.Close()
 	if n.server != nil {
 		n.server.Close()
 	}
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"time"
 
+	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrfleet"
+	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
 	"kingcuprun.example/link/kcrwire"
@@ -72,15 +74,29 @@
 // peers returns the addresses of other routers: those that were heard of on the
 // log, else those of the settings.
 func (n *Node) peers(seeds []string) (out []string) {
-	for _, p := range n.buckets[0].wallet.Near(n.clock.Now()) {
-		out = append(out, p.Addr)
-	}
-	if len(out) == 0 {
+	if out = n.book.Near(n.clock.Now()); len(out) == 0 {
 		return seeds
 	}
 	return out
 }
 
+// follow starts to follow what routers tell each other.
+func (n *Node) follow(c Config) {
+	n.told = kcrdaemon.NewFollower(c.Log, kcrid.PeerStream, kcrdaemon.Fold{
+		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
+			n.book.Apply(n.clock.Now(), off, e)
+			if s := e.GetSuspect(); s != nil {
+				n.harm.Crashed(kcrid.Content(s.GetContent()), kcrid.VM(s.GetServer()))
+			}
+		},
+		At: n.book.At, Batch: n.book.Batch, Ready: n.book.Ready, Skips: true,
+		Pause: func() time.Duration { return peerPause },
+	}, c.Logger, c.Snap.Std())
+}
+
+// peerPause is the time between two reads of what routers tell each other.
+const peerPause = 300 * time.Millisecond
+
 // version returns that of the configuration in force, 0 before the first.
 func (n *Node) version() uint64 {
 	if r := n.rules.Rules(); r != nil {
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -20,17 +20,20 @@
 // borrows from the home of its bucket what the next moments need, and claims
 // escrow of its own where no home answers. Requests wait for either.
 
-// bucket is a wallet with the follower of its stream.
+// bucket is a wallet, with the follower of its stream while this router is alone.
 type bucket struct {
-	number   kcrid.Bucket
-	wallet   *kcrbudget.Wallet
-	follower *kcrdaemon.Follower
-
-	mu      sync.Mutex
-	asking  map[kcrid.Plan]bool
-	dry     map[kcrid.Plan]refusal
-	rest    map[kcrid.Plan]kcrclock.Time // until then nothing is borrowed ahead
-	failing kcrclock.Time                // since when no home answers, 0 while one does
+	number kcrid.Bucket
+	wallet *kcrbudget.Wallet
+	start  func() *kcrdaemon.Follower
+
+	mu       sync.Mutex
+	follower *kcrdaemon.Follower // nil while homes answer
+	asking   map[kcrid.Plan]bool
+	dry      map[kcrid.Plan]refusal
+	rest     map[kcrid.Plan]kcrclock.Time // until then nothing is borrowed ahead
+	asked    kcrclock.Time                // when a home was last asked
+	failing  kcrclock.Time                // since when no home answers, 0 while one does
+	failed   kcrclock.Time                // when none answered last
 }
 
 // refusal is the last word of a home on a plan that is used up.
@@ -52,9 +55,12 @@
 	// aloneTime is how long no home answered when a router begins to hold
 	// escrow of its own.
 	aloneTime = 500 * kcrclock.Millisecond
-	// followPause is the time between two reads of a stream of budgets: what a
-	// router has to know in time, the homes tell it.
-	followPause = 300 * time.Millisecond
+	// detachTime is how long homes have to answer before a router stops to follow
+	// a stream of budgets.
+	detachTime = 10 * kcrclock.Second
+	// touchTime is how long a bucket may go without a call before a router makes
+	// one, so that somebody carries its state forward.
+	touchTime = 2 * kcrclock.Second
 )
 
 func (n *Node) bucketOf(team kcrid.Team) *bucket {
@@ -125,29 +131,69 @@
 	return out
 }
 
-// newBucket starts to follow the stream of a bucket.
+// newBucket returns the wallet of a bucket. Its stream is followed only while
+// this router is alone: what a router has to know of budgets, the homes tell it.
 func (n *Node) newBucket(c Config, i int) *bucket {
 	b := &bucket{number: kcrid.Bucket(i), asking: map[kcrid.Plan]bool{}, dry: map[kcrid.Plan]refusal{}, rest: map[kcrid.Plan]kcrclock.Time{}}
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
-		Self: c.Self, Addr: c.Control, Borrows: true, Boot: c.Boot, LedgerRules: kcrbudget.DefaultLedgerRules(),
+		Self: c.Self, Borrows: true, Boot: c.Boot, LedgerRules: kcrbudget.DefaultLedgerRules(),
 		Policy: kcrbudget.WhenAlone(func() bool { return n.alone(b) }, c.Escrow), Rules: kcrbudget.DefaultWalletRules(),
 	})
 	b.wallet = w
-	b.follower = kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(b.number), kcrdaemon.Fold{
-		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
-			kcrbudget.LogEffect(n.logger, w.Apply(n.clock.Now(), off, e), off)
-			if s := e.GetSuspect(); s != nil {
-				n.harm.Crashed(kcrid.Content(s.GetContent()), kcrid.VM(s.GetServer()))
-			}
-			n.escrow.Raise()
-		},
-		At: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, Ready: w.Ready,
-		Carries: func() bool { return w.Carries(n.clock.Now()) },
-		Pause:   func() time.Duration { return n.followPause(b) },
-	}, c.Logger, c.Snap.Std())
+	b.start = func() *kcrdaemon.Follower {
+		return kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(b.number), kcrdaemon.Fold{
+			Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
+				kcrbudget.LogEffect(n.logger, w.Apply(n.clock.Now(), off, e), off)
+				n.escrow.Raise()
+			},
+			At: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, Ready: w.Ready,
+			Carries: func() bool { return w.Carries(n.clock.Now()) },
+		}, c.Logger, c.Snap.Std())
+	}
 	return b
 }
 
+// attach follows the stream of the bucket, if that is not done yet.
+func (b *bucket) attach() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.follower == nil {
+		b.follower = b.start()
+	}
+}
+
+// kick tells the follower, if there is one, that the wallet has something to say.
+func (b *bucket) kick() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.follower != nil {
+		b.follower.Kick()
+	}
+}
+
+// close stops following.
+func (b *bucket) close() {
+	b.mu.Lock()
+	f := b.follower
+	b.follower = nil
+	b.mu.Unlock()
+	if f != nil {
+		f.Close()
+	}
+}
+
+// detach stops following once homes have answered for a time and have all that
+// this router held.
+func (n *Node) detach(b *bucket) {
+	b.mu.Lock()
+	done := b.follower != nil && b.failing == 0 && n.clock.Now().Sub(b.failed) > detachTime
+	b.mu.Unlock()
+	if done && !n.alone(b) && b.wallet.Empty() {
+		b.wallet.Unready()
+		b.close()
+	}
+}
+
 // isDry tells whether a home said a moment ago that the budget does not cover
 // as much.
 func (b *bucket) isDry(now kcrclock.Time, plan kcrid.Plan, worst kcrid.Tokens) bool {
@@ -165,13 +211,14 @@
 }
 
 // begin tells whether nobody asks for a plan yet, and takes that on.
-func (b *bucket) begin(plan kcrid.Plan) bool {
+func (b *bucket) begin(now kcrclock.Time, plan kcrid.Plan) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.asking[plan] {
 		return false
 	}
 	b.asking[plan] = true
+	b.asked = now
 	return true
 }
 
@@ -203,10 +250,11 @@
 	b.dry[plan] = refusal{need: need, at: now}
 }
 
-// failed notes that no home answered.
-func (b *bucket) failed(now kcrclock.Time) {
+// unanswered notes that no home answered.
+func (b *bucket) unanswered(now kcrclock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.failed = now
 	if b.failing == 0 {
 		b.failing = now
 	}
@@ -228,18 +276,10 @@
 	return n.homes.none() || b.failingFor(n.clock.Now()) > aloneTime
 }
 
-// followPause returns the time between two reads of a stream of budgets.
-func (n *Node) followPause(b *bucket) time.Duration {
-	if n.homes.some() && !n.alone(b) {
-		return followPause
-	}
-	return 0
-}
-
 // borrow asks the home of a bucket for what a request lacks, or for the next
 // moments if worst is 0. Where no home answers, it claims escrow for this router.
 func (n *Node) borrow(b *bucket, plan kcrid.Plan, worst kcrid.Tokens) {
-	if !b.begin(plan) {
+	if !b.begin(n.clock.Now(), plan) {
 		return
 	}
 	n.wait.Go(func() {
@@ -252,7 +292,8 @@
 				return
 			}
 		}
-		b.failed(now)
+		b.unanswered(now)
+		b.attach()
 		n.limit(b)
 		if worst > 0 {
 			n.claim(b, plan, worst)
@@ -264,7 +305,7 @@
 func (n *Node) claim(b *bucket, plan kcrid.Plan, worst kcrid.Tokens) {
 	now := n.clock.Now()
 	code := b.wallet.Claim(now, plan, worst)
-	b.follower.Kick()
+	b.kick()
 	if code == kcrbudget.UsedUp {
 		b.usedUp(now, plan, worst)
 	}
@@ -319,6 +360,25 @@
 	for _, a := range b.wallet.Excess(false) {
 		n.wait.Go(func() { n.giveBack(b, a) })
 	}
+	n.touch(now, b)
+}
+
+// touch makes a call to the home of a bucket that nobody uses: without a home, its
+// records would outlive its snapshots. One router does that for each bucket.
+func (n *Node) touch(now kcrclock.Time, b *bucket) {
+	b.mu.Lock()
+	due := now.Sub(b.asked) > touchTime
+	b.mu.Unlock()
+	r := n.rules.Rules()
+	if !due || r == nil || !n.book.Leads(now, string(kcrid.BudgetStream(b.number))) {
+		return
+	}
+	for i := range r.Teams {
+		if t := &r.Teams[i]; t.Prepaid >= 0 && n.bucketOf(t.Name) == b {
+			n.borrow(b, kcrid.Plan(t.Name), 0)
+			return
+		}
+	}
 }
 
 // giveBack returns what was borrowed to a home, not always the one that lent
