--- a/bench/kcrproof/escrow.go
+++ b/bench/kcrproof/escrow.go
@@ -271,18 +271,28 @@
 	switch m {
 	case homeRound:
 		w.round(w.home)
-	case routerRound:
-		w.round(w.router)
 	case homeReads:
 		w.takeIn(w.home)
 	case homeWrites, homeWriteLate, homeWriteDoubled, lateArrives:
 		w.write(m)
 	case homeLends, homeLoanLost:
 		w.lend(m == homeLoanLost)
-	case routerServes:
-		w.serve()
+	case routerRound, routerClaims, routerServes, routerReturns, routerReturnLost, requestEnds:
+		w.route(m)
+	default:
+		w.happen(m)
+	}
+}
+
+// route makes a move of the router.
+func (w *escrowWorld) route(m move) {
+	switch m {
+	case routerRound:
+		w.round(w.router)
 	case routerClaims:
 		w.router.wallet.Claim(w.now, escrowPlan, escrowRequest)
+	case routerServes:
+		w.serve()
 	case routerReturns, routerReturnLost:
 		w.giveBack(m == routerReturnLost)
 	case requestEnds:
@@ -290,6 +300,12 @@
 			w.runs--
 			w.router.wallet.Settle(escrowPlan, escrowRequest, escrowRequest)
 		}
+	}
+}
+
+// happen makes a move that no process decides on.
+func (w *escrowWorld) happen(m move) {
+	switch m {
 	case timePasses:
 		w.now = w.now.Add(escrowStep)
 	case homeKilled, homeLosesPower:
--- /dev/null
+++ b/kernel/kcrbudget/log.go
@@ -0,0 +1,17 @@
+package kcrbudget
+
+import (
+	"log/slog"
+
+	"kingcuprun.example/kernel/kcrid"
+)
+
+// LogEffect logs what a record did to the ledger, but for plain reports of
+// spending.
+func LogEffect(logger *slog.Logger, eff Effect, off kcrid.Offset) {
+	if eff.Kind == Ignored || eff.Kind == Marked && eff.Tokens == 0 {
+		return
+	}
+	logger.Info("escrow", "what", eff.Kind.String(), "plan", string(eff.Plan), "holder", string(eff.Writer),
+		"tokens", int64(eff.Tokens), "unmet", int64(eff.Unmet), "offset", uint64(off))
+}
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -89,29 +88,14 @@
 	// quietTime is how long a holder may be silent before what it holds is
 	// taken to be out of use.
 	quietTime = 6 * kcrclock.Second
-	// borrowTime is the demand that a borrower wants to have at hand. It is lost
-	// where the borrower dies, and saves a call for most requests.
-	borrowTime = 400 * kcrclock.Millisecond
-	// borrowBelow is the part of that below which more is borrowed, and
-	// borrowMost the multiple of it from which on some is given back.
-	borrowBelow = 0.5
-	borrowMost  = 2
-	// borrowPart is the part of what a plan still has that a borrower has at
-	// hand at most: near the end of a budget all of it lies with the lender.
-	borrowPart = 0.02
-	// leftTime is how long a borrower relies on what it was told to be left.
-	leftTime = 600 * kcrclock.Millisecond
-	// lendPart is the part of what is free that one loan takes at most beside
-	// what a request needs: near the end of a budget loans become small.
-	lendPart = 8
 	// excess is how far above its target a wallet holds on to escrow.
 	excess = 1.5
 	// ratioWeight is the weight of the newest request in the spent ratio.
 	ratioWeight = 0.05
 )
 
-// WalletConfig is what a Wallet is made of. A wallet that borrows leaves it to its driver where
-// escrow comes from: it claims only by Claim, and by its policy.
+// WalletConfig is what a Wallet is made of. A wallet that borrows leaves it to its
+// driver where escrow comes from: it claims only by Claim, and by its policy.
 type WalletConfig struct {
 	Self        kcrid.Incarnation
 	Borrows     bool
@@ -472,128 +456,6 @@
 	return seq
 }
 
-// Loan is escrow that is given to another holder. Left is what the plan still
-// has here or available to all.
-type Loan struct {
-	Tokens kcrid.Tokens
-	Code   Code
-	Left   kcrid.Tokens
-}
-
-// Lend gives escrow to another holder: what it needs, and some of what it wants
-// besides. It counts as spent here from now on, whether it arrives or not. With
-// Pending the holder should ask again after the next Apply.
-func (w *Wallet) Lend(now kcrclock.Time, p kcrid.Plan, need, want kcrid.Tokens) Loan {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.ready || w.retired {
-		return Loan{Code: Unknowable}
-	}
-	po := w.pocket(p)
-	po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
-	free := w.free(p, po)
-	left := max(0, w.ledger.Account(p).Available()+free)
-	if !w.rules.Fits(free, need) {
-		return Loan{Code: w.claim(now, p, po, need), Left: left}
-	}
-	if !w.rules.Within(po.exposed(need), po.cap(now)) {
-		w.raise(now, p, po, need)
-		return Loan{Code: Pending, Left: left}
-	}
-	give := need + max(0, min(want-need, (free-need)/lendPart, po.cap(now)-po.exposed(need)))
-	po.lent += give
-	po.arrived += float64(give)
-	return Loan{Tokens: give, Code: Granted, Left: left - give}
-}
-
-// Borrow takes in what another holder has lent or given back.
-func (w *Wallet) Borrow(p kcrid.Plan, tokens kcrid.Tokens) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.pocket(p).borrowed += tokens
-}
-
-// Returned takes in what a borrower did not need of what was lent here.
-func (w *Wallet) Returned(p kcrid.Plan, tokens kcrid.Tokens) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	po := w.pocket(p)
-	po.borrowed += tokens
-	po.arrived -= float64(tokens)
-}
-
-// Short returns how much a request of a plan lacks, and what the demand of the
-// next moments is besides.
-func (w *Wallet) Short(now kcrclock.Time, p kcrid.Plan, worst kcrid.Tokens) (need, want kcrid.Tokens) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	po := w.pocket(p)
-	usable := min(w.free(p, po), po.cap(now)+po.borrowed-po.spent-po.lent-po.reserved)
-	need = max(0, worst-usable)
-	return need, need + max(0, po.near()-max(0, usable-worst))
-}
-
-// near is the demand of the next moments, as far as it may be at hand.
-func (po *pocket) near() kcrid.Tokens {
-	near := kcrid.Tokens(po.rate * borrowTime.Seconds())
-	if po.left >= 0 {
-		near = min(near, kcrid.Tokens(borrowPart*float64(po.left)))
-	}
-	return near
-}
-
-// Left takes in what a plan still has, as its lender says.
-func (w *Wallet) Left(now kcrclock.Time, p kcrid.Plan, tokens kcrid.Tokens) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	po := w.pocket(p)
-	po.left, po.leftAt = tokens, now
-}
-
-// Low returns the plans whose escrow at a borrower covers too little of the
-// next moments, and those of which it does not know what they still have.
-func (w *Wallet) Low(now kcrclock.Time) (out []kcrid.Plan) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for p, po := range w.pockets {
-		po.smooth(now, w.ledger.SpentElsewhere(p, w.self))
-		if po.rate == 0 {
-			continue
-		}
-		if float64(w.free(p, po)) < borrowBelow*float64(po.near()) || now.Sub(po.leftAt) > leftTime {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-// Amount is an amount of one plan.
-type Amount struct {
-	Plan   kcrid.Plan
-	Tokens kcrid.Tokens
-}
-
-// Excess takes out what a borrower has borrowed of each plan beyond the demand
-// of the next moments, or all of it. It counts as lent from now on.
-func (w *Wallet) Excess(all bool) (out []Amount) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for p, po := range w.pockets {
-		free, keep := po.borrowed-po.spent-po.lent-po.reserved, po.near()
-		switch {
-		case all:
-			keep = 0
-		case free <= borrowMost*keep:
-			continue
-		}
-		if free > keep {
-			po.lent += free - keep
-			out = append(out, Amount{Plan: p, Tokens: free - keep})
-		}
-	}
-	return out
-}
-
 // Tick does what is due: it refills, gives excess back, and reports spending.
 func (w *Wallet) Tick(now kcrclock.Time) {
 	w.mu.Lock()
@@ -703,13 +565,3 @@
 	}
 	return h.Sum64()
 }
-
-// LogEffect logs what a record did to the ledger, but for plain reports of
-// spending.
-func LogEffect(logger *slog.Logger, eff Effect, off kcrid.Offset) {
-	if eff.Kind == Ignored || eff.Kind == Marked && eff.Tokens == 0 {
-		return
-	}
-	logger.Info("escrow", "what", eff.Kind.String(), "plan", string(eff.Plan), "holder", string(eff.Writer),
-		"tokens", int64(eff.Tokens), "unmet", int64(eff.Unmet), "offset", uint64(off))
-}
--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -94,13 +94,6 @@
 	return h.known && len(h.places) == 0
 }
 
-// some tells whether there is a place for a home.
-func (h *homes) some() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.places) > 0
-}
-
 // refused notes that nobody listens at a place.
 func (h *homes) refused(now kcrclock.Time, addr string) {
 	h.mu.Lock()
