A router that is slow itself does not take its homes for dead

A router on a slow machine gave each home 100 ms, passed over home after home, opened new ones, and lost every loan that came later: 176 refusals and 131 lost calls in six seconds.

Ruled out: the homes and the store, which served the other routers meanwhile.

Change: the next home is asked after 250 ms, but a late answer counts for a second, and only no answer makes a home silent. Requests wait for escrow for half of their aim.

--- a/router/kcrgateway/handle.go
+++ b/router/kcrgateway/handle.go
@@ -34,7 +34,7 @@
 	retryNever  = 30 * kcrclock.Second
 	mostTimeout = 60 * kcrclock.Second // where neither caller nor route sets one
 	// budgetWaitPart is the part of the aim that a request may wait for escrow.
-	budgetWaitPart = 4
+	budgetWaitPart = 2
 )
 
 // handle answers the request.
--- a/router/kcrnode/borrow.go
+++ b/router/kcrnode/borrow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
@@ -50,19 +51,43 @@
 	}
 }
 
-// borrowFrom asks one home, and tells whether it answered.
+// borrowFrom asks one home, and tells whether it answered soon. An answer that
+// comes later counts too: a router that is slow itself must not take its homes for
+// dead, nor lose what they lend.
 func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worst kcrid.Tokens) bool {
-	loan, err := n.ask(addr, n.lend(plan, need, want))
-	now := n.clock.Now()
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.homes.refused(now, addr)
+	done := make(chan bool, 1)
+	n.wait.Go(func() {
+		loan, err := n.ask(addr, n.lend(plan, need, want))
+		if err != nil {
+			n.unlent(addr, plan, need, err)
 		} else {
-			n.homes.silent(now, addr)
+			n.lent(addr, b, plan, loan, need, want, worst)
 		}
-		n.logger.Warn("no loan", "plan", string(plan), "home", addr, "need", int64(need), "err", err.Error())
+		done <- err == nil
+	})
+	select {
+	case ok := <-done:
+		return ok
+	case <-time.After(lendTime):
+		n.homes.late(n.clock.Now(), addr)
 		return false
 	}
+}
+
+// unlent notes that a home did not answer.
+func (n *Node) unlent(addr string, plan kcrid.Plan, need kcrid.Tokens, err error) {
+	now := n.clock.Now()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.homes.refused(now, addr)
+	} else {
+		n.homes.silent(now, addr)
+	}
+	n.logger.Warn("no loan", "plan", string(plan), "home", addr, "need", int64(need), "err", err.Error())
+}
+
+// lent takes in a loan.
+func (n *Node) lent(addr string, b *bucket, plan kcrid.Plan, loan kcrbudget.Loan, need, want, worst kcrid.Tokens) {
+	now := n.clock.Now()
 	n.homes.answered(addr)
 	b.answered(now, plan, worst, loan, 2*loan.Tokens < want)
 	if loan.Tokens > 0 {
@@ -71,12 +96,12 @@
 	b.wallet.Left(now, plan, loan.Left)
 	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
 		"need", int64(need), "wanted", int64(want), "left", int64(loan.Left), "code", loan.Code.String())
-	return true
+	n.escrow.Raise()
 }
 
 // ask makes one call to a home.
 func (n *Node) ask(addr string, req *kcrwire.Lend) (loan kcrbudget.Loan, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), lendTime)
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
 	if err != nil {
--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -37,6 +37,8 @@
 	refusedPause = 300 * kcrclock.Millisecond
 	silentPause  = kcrclock.Second
 	mostPause    = 8 * kcrclock.Second
+	// latePause is how long one is passed over that has not answered yet.
+	latePause = 250 * kcrclock.Millisecond
 	// missingTime is how long a place counts whose upstream is gone without
 	// having said that it leaves: it may have crashed.
 	missingTime = 30 * kcrclock.Second
@@ -103,6 +105,15 @@
 	}
 }
 
+// late notes that a place has not answered yet.
+func (h *homes) late(now kcrclock.Time, addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.places[addr]; p != nil {
+		p.down = max(p.down, now.Add(latePause))
+	}
+}
+
 // silent notes that a place did not answer.
 func (h *homes) silent(now kcrclock.Time, addr string) {
 	h.mu.Lock()
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -39,8 +39,10 @@
 
 // Timing of loans.
 const (
-	// lendTime bounds a call for a loan.
-	lendTime = 100 * time.Millisecond
+	// lendTime is how long a home has to answer before the next is asked, and
+	// callTime how long its answer still counts.
+	lendTime = 250 * time.Millisecond
+	callTime = time.Second
 	// dryTime is how long a home's word counts that a budget does not cover a
 	// request.
 	dryTime = 100 * kcrclock.Millisecond
