--- a/bench/kcrrig/answer_test.go
+++ b/bench/kcrrig/answer_test.go
@@ -147,7 +147,7 @@
 			t.Errorf("%s: expected %s, not_run; got %d %s", test.name, test.code, test.got.Status, test.got.Body)
 		}
 	}
-	if err := r.Publish(kcrlist.Topup{Name: "first", Tokens: 200}, kcrlist.Topup{Name: "second", Tokens: 10_000}); err != nil {
+	if err := r.Publish(kcrlist.Topup{Name: firstTopup, Tokens: 200}, kcrlist.Topup{Name: "second", Tokens: 10_000}); err != nil {
 		t.Fatal(err)
 	}
 	a := c.Chat(ctx, addr, Model, "x", "", false)
--- a/bench/kcrrig/retention_test.go
+++ b/bench/kcrrig/retention_test.go
@@ -46,7 +46,7 @@
 	if !a.Whole(false) && r.account(t).Available() == 0 {
 		t.Logf("the dead held all: %+v", r.account(t))
 		prepaid += 10_000
-		if err := r.Publish(kcrlist.Topup{Name: "first", Tokens: 100_000}, kcrlist.Topup{Name: "second", Tokens: 10_000}); err != nil {
+		if err := r.Publish(kcrlist.Topup{Name: firstTopup, Tokens: 100_000}, kcrlist.Topup{Name: "second", Tokens: 10_000}); err != nil {
 			t.Fatal(err)
 		}
 		a = chat()
--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -159,7 +159,7 @@
 		r.Routers = append(r.Routers, rt)
 	}
 	r.Operator = kcroperate.New(kcrplatform.New(s.Log, kcrplatform.HTTPClient()).Log(), s.Buckets)
-	return r, r.Publish(kcrlist.Topup{Name: "first", Tokens: size.Tokens})
+	return r, r.Publish(kcrlist.Topup{Name: firstTopup, Tokens: size.Tokens})
 }
 
 func (r *Rig) startPlatform() error {
@@ -241,6 +241,9 @@
 	settlePause = 20 * time.Millisecond
 )
 
+// firstTopup names the top-up that a rig starts with.
+const firstTopup = "first"
+
 // Publish replaces the lists by one plan with the top-ups, and waits until
 // every router has them.
 func (r *Rig) Publish(topups ...kcrlist.Topup) error {
