A home lends nothing to a router that cuts budgets into other buckets

Cause, found by reading: settings of routers and side processes name the number of buckets each for themselves. Where they differ, a plan has a ledger in two streams, and both grant all that is prepaid.

Change: a loan carries the number; a home that has another answers without a loan and logs an error. It is an answer, since a router that gets none would claim on its own ledger. Test: TestOtherBuckets.

--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -146,6 +146,11 @@
 
 // lend answers a router that needs escrow, or gives some back.
 func (h *Host) lend(req *kcrwire.Lend) *kcrwire.Reply {
+	if got := int(req.GetBuckets()); got != h.config.Buckets {
+		// An error would make the router claim escrow of its own, on its ledger.
+		h.config.Logger.Error("loan refused: other buckets", "expected", h.config.Buckets, "got", got)
+		return &kcrwire.Reply{Kind: &kcrwire.Reply_Lent{Lent: &kcrwire.Lent{Code: kcrbudget.Unknowable.String()}}}
+	}
 	p := kcrid.Plan(req.GetPlan())
 	ho := h.home(kcrid.BucketOf(p, uint32(h.config.Buckets)))
 	if ho == nil {
--- a/router/kcrhome/home_test.go
+++ b/router/kcrhome/home_test.go
@@ -74,6 +74,7 @@
 	return h, func(req *kcrwire.Lend) *kcrwire.Lent {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
+		req.Buckets = 1
 		reply, err := pool.Call(ctx, h.Addr(), &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
 		if err != nil {
 			tb.Fatal(err)
@@ -132,6 +133,21 @@
 	}
 }
 
+// TestOtherBuckets: a router that cuts budgets into other buckets would draw on a
+// second ledger of a plan.
+func TestOtherBuckets(t *testing.T) {
+	t.Parallel()
+	m := &memory{streams: map[kcrid.Stream][][]byte{}}
+	h, _ := newHost(t, m)
+	pool := kcrlink.NewPool()
+	t.Cleanup(pool.Close)
+	req := &kcrwire.Lend{Plan: plan, Need: 1, Tokens: 1, Version: 1, Prepaid: 100, Buckets: 2}
+	reply, err := pool.Call(t.Context(), h.Addr(), &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
+	if got := reply.GetLent(); err != nil || got.GetTokens() != 0 || got.GetCode() != "unknowable" {
+		t.Fatalf("expected an answer without a loan, got %v %v", got, err)
+	}
+}
+
 // BenchmarkLoan is a loan over loopback, both sides included.
 func BenchmarkLoan(b *testing.B) {
 	m := &memory{streams: map[kcrid.Stream][][]byte{}}
--- a/router/kcrnode/borrow.go
+++ b/router/kcrnode/borrow.go
@@ -101,6 +101,7 @@
 
 // ask makes one call to a home.
 func (n *Node) ask(addr string, req *kcrwire.Lend) (loan kcrbudget.Loan, err error) {
+	req.Buckets = uint32(len(n.buckets))
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
