Routers that find no home share what one may take

Cause, found by reading: a router that finds no home held 5% of what is left while its demand was not known; thirty at once, after a cut from all homes, would take four fifths of a budget before they need it.

Change: each holds its part, by the number of routers that it has heard of, or what its demand so far is, if that is more. Test: TestAloneTogether. It fails where each router takes itself to be alone, as before: 30 routers then take 78,530 of 100,000 tokens, now a twentieth at most.

--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -113,14 +113,21 @@
 }
 
 // WhenAlone returns the policy of a borrower: it holds nothing of its own while
-// there is somebody to borrow from.
-func WhenAlone(alone func() bool, otherwise Policy) Policy {
+// there is somebody to borrow from. While its demand is not known it holds what it
+// has seen of it, or its part of what one holder would have, as so many are alone
+// together.
+func WhenAlone(alone func() bool, holders func() int, otherwise Policy) Policy {
 	target := otherwise.Target
 	otherwise.Target = func(v View) kcrid.Tokens {
 		if !alone() {
 			return 0
 		}
-		return target(v)
+		first := kcrid.Tokens(0)
+		if v.Young {
+			first = target(v) / kcrid.Tokens(max(1, holders()))
+			v.Young = false
+		}
+		return max(first, target(v))
 	}
 	return otherwise
 }
--- a/kernel/kcrbudget/wallet_test.go
+++ b/kernel/kcrbudget/wallet_test.go
@@ -442,3 +442,25 @@
 		t.Fatalf("expected all of 200000 tokens available after the stop, got %+v", got)
 	}
 }
+
+// TestAloneTogether: routers that find no home must not take a budget between them
+// before they know their demand.
+func TestAloneTogether(t *testing.T) {
+	t.Parallel()
+	alone, left := true, kcrid.Tokens(100000)
+	p := kcrbudget.WhenAlone(func() bool { return alone }, func() int { return 30 }, kcrbudget.ForOutages(kcrbudget.ShortOutages()))
+	taken := kcrid.Tokens(0)
+	for range 30 {
+		taken += p.Target(kcrbudget.View{Young: true, Available: left - taken, Prepaid: left})
+	}
+	if taken == 0 || taken > left/20 {
+		t.Errorf("expected 30 routers without demand to take at most a twentieth of %d tokens, got %d", left, taken)
+	}
+	if got := p.Target(kcrbudget.View{Rate: 1000, Share: 1, Available: left, Prepaid: left}); got != 2000 {
+		t.Errorf("expected two seconds of a known demand, got %d", got)
+	}
+	alone = false
+	if got := p.Target(kcrbudget.View{Young: true, Available: left, Prepaid: left}); got != 0 {
+		t.Errorf("with a home: expected nothing to be held, got %d", got)
+	}
+}
--- a/router/kcrnode/purse.go
+++ b/router/kcrnode/purse.go
@@ -123,7 +123,7 @@
 	b := &bucket{number: kcrid.Bucket(i), asking: map[kcrid.Plan]bool{}, dry: map[kcrid.Plan]refusal{}, rest: map[kcrid.Plan]kcrclock.Time{}}
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
 		Self: c.Self, Borrows: true, Boot: c.Boot, LedgerRules: kcrbudget.DefaultLedgerRules(),
-		Policy: kcrbudget.WhenAlone(func() bool { return n.alone(b) }, c.Escrow), Rules: kcrbudget.DefaultWalletRules(),
+		Policy: kcrbudget.WhenAlone(func() bool { return n.alone(b) }, n.routers, c.Escrow), Rules: kcrbudget.DefaultWalletRules(),
 	})
 	b.wallet = w
 	b.start = func() *kcrdaemon.Follower {
