Retry budget holds in every window, also for cut off and restarted routers

Cause: a router that heard no other (all of them, in a cut from the store) took a third of the fixed allowance, however many routers there are; a restarted one began with an empty window; the window was checked at its end only, with the requests of the ten seconds before the retry, while a window that begins later has fewer of them; its ring covered 9.5 s.

Ruled out: the share alone.

A request kept from another attempt says so in its reason.

--- a/kernel/kcrpeer/registry.go
+++ b/kernel/kcrpeer/registry.go
@@ -27,6 +27,10 @@
 	// no longer asked. It is longer than aliveTimeout, since no Hello record of any
 	// peer arrives during an outage of the log.
 	addressTimeout = 30 * kcrclock.Second
+	// memberTimeout is the time after the last Hello record from a VM from which its
+	// router no longer counts as one that shares a limit. It is longer than routers
+	// may be cut off from the log while they serve.
+	memberTimeout = 2 * kcrclock.Minute
 )
 
 // Registry is what one router knows about its peers. It is safe for concurrent use.
@@ -40,6 +44,7 @@
 	ownHelloAt kcrclock.Time  // time of the last own Hello record, 0 before the first
 	outbox     *kcrlog.Outbox // records that the log has not confirmed
 	peers      map[kcrid.Incarnation]peer
+	seenAt     map[kcrid.VM]kcrclock.Time // when the last Hello record from a VM was applied, whatever its age
 }
 
 // peer is another router that has written a Hello record.
@@ -51,7 +56,7 @@
 // New returns an empty registry of the router self, which accepts calls of its peers
 // at addr. With an empty addr the router never writes a Hello record.
 func New(self kcrid.Incarnation, addr string) *Registry {
-	return &Registry{self: self, addr: addr, outbox: kcrlog.NewOutbox(self), peers: map[kcrid.Incarnation]peer{}}
+	return &Registry{self: self, addr: addr, outbox: kcrlog.NewOutbox(self), peers: map[kcrid.Incarnation]peer{}, seenAt: map[kcrid.VM]kcrclock.Time{}}
 }
 
 // Apply applies one record of the stream. A Hello record that is applied before
@@ -72,6 +77,9 @@
 	if len(r.peers) >= maxPeers {
 		clear(r.peers) // peers that are alive soon write another Hello record
 	}
+	if writer.VM() != r.self.VM() {
+		r.seenAt[writer.VM()] = now
+	}
 	p := peer{addr: hello.GetAddr()}
 	if r.ready {
 		p.lastHelloAt = now
@@ -143,6 +151,27 @@
 	return count
 }
 
+// KnownRouters returns how many routers may be serving, this one included: those that
+// have written a Hello record within memberTimeout, counted by VM. Unlike LiveRouters it
+// includes routers that are cut off from the log. It returns 0 until the stream was read
+// to its end.
+func (r *Registry) KnownRouters(now kcrclock.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ready {
+		return 0
+	}
+	count := 1
+	for vm, at := range r.seenAt {
+		if now.Sub(at) < memberTimeout {
+			count++
+			continue
+		}
+		delete(r.seenAt, vm)
+	}
+	return count
+}
+
 // RecentAddrs returns the addresses of the peers whose last Hello record was applied less
 // than addressTimeout ago, in no particular order.
 func (r *Registry) RecentAddrs(now kcrclock.Time) (addrs []string) {
--- a/kernel/kcrpeer/registry_test.go
+++ b/kernel/kcrpeer/registry_test.go
@@ -65,3 +65,30 @@
 		t.Fatalf("expected records from before MarkReady to make no peer alive, got %d routers", n)
 	}
 }
+
+// The routers that may be serving are counted by VM, whatever the age of their records,
+// until no record has come for two minutes; their number is unknown before the stream
+// was read.
+func TestKnownRouters(t *testing.T) {
+	t.Parallel()
+	s := &stream{}
+	a := kcrpeer.New("a/1", "10.0.0.1:1")
+	if n := a.KnownRouters(1); n != 0 {
+		t.Fatalf("before the stream was read: expected an unknown number of routers, got %d", n)
+	}
+	for _, name := range []kcrid.Incarnation{"b/1", "b/2", "c/1"} { // b has restarted
+		peer := kcrpeer.New(name, "10.0.0.2:1")
+		s.read(t, 1, peer)
+		peer.Tick(1)
+		s.write(peer)
+	}
+	s.read(t, 100, a)
+	for now, want := range map[kcrclock.Time]int{200: 3, 100000: 3} {
+		if n := a.KnownRouters(now); n != want {
+			t.Errorf("at %d: expected %d routers that may be serving, got %d", now, want, n)
+		}
+	}
+	if n := a.KnownRouters(130000); n != 1 {
+		t.Errorf("after 130 s without a record: expected 1 router, got %d", n)
+	}
+}
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,8 +59,7 @@
 // connection.
 func (g *Gateway) serveRequest(c *callerConn) (keepOpen bool) {
 	limits := g.limits()
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout.Std()))
-	if _, err := c.br.Peek(1); err != nil {
+	if !g.awaitRequest(c, limits.IdleTimeout) {
 		return false
 	}
 	g.setBusy(c.conn, true)
@@ -94,6 +94,19 @@
 	return !x.closeAfter && !x.callerLeft.Load() && !g.stopping.Load()
 }
 
+// awaitRequest waits for the first byte of the next request, and reports whether it has
+// arrived. Where a planned stop ends the wait, a request may have arrived at the same
+// time, so it looks once more.
+func (g *Gateway) awaitRequest(c *callerConn, timeout kcrclock.Duration) bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout.Std()))
+	_, err := c.br.Peek(1)
+	if err != nil && g.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		_, err = c.br.Peek(1)
+	}
+	return err == nil
+}
+
 // rejectMalformed responds to a request that violates the protocol or a size
 // limit. The connection ends, because the start of the next request is unknown.
 func (c *callerConn) rejectMalformed(err error) {
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -61,7 +61,8 @@
 	Crashes     *kcrcrash.Counter    // counts crashes of upstreams by request content
 	Budget      TeamBudget
 	Retries     RetryLimits
-	// RouterCount returns the number of routers that share the retry budget.
+	// RouterCount returns the number of routers that share the retry budget, 0 if it
+	// is unknown.
 	RouterCount func() int
 	// OnCrash is called when a request content has crashed an upstream for the
 	// first time.
@@ -73,6 +74,9 @@
 	Window       kcrclock.Duration // length of the sliding window
 	RetryRatio   float64           // retries allowed per request
 	ExtraRetries float64           // retries allowed in addition, shared by all routers
+	// FirstStart tells that no earlier process of this router can have made retries. Any
+	// other process does not use ExtraRetries until a window has passed.
+	FirstStart bool
 }
 
 // Gateway accepts connections of callers and forwards their requests. It is safe
@@ -84,6 +88,7 @@
 	logger         *slog.Logger
 	rules          *kcrrule.ActiveRules
 	table          *kcrplacement.Table
+	startedAt      kcrclock.Time
 	pool           *pool
 	metrics        *metrics
 	listener       net.Listener
@@ -111,6 +116,7 @@
 		logger:       c.Logger,
 		rules:        c.Rules,
 		table:        c.Upstreams,
+		startedAt:    c.Clock.Now(),
 		pool:         newPool(),
 		metrics:      newMetrics(c.Metrics),
 		conns:        map[net.Conn]bool{},
@@ -192,7 +198,11 @@
 	window := g.retryWindows[service]
 	if window == nil {
 		limits := g.config.Retries
-		window = kcrroute.NewRetryWindow(limits.Window, limits.RetryRatio, limits.ExtraRetries)
+		from := g.startedAt.Add(limits.Window)
+		if limits.FirstStart {
+			from = g.startedAt
+		}
+		window = kcrroute.NewRetryWindow(from, limits.Window, limits.RetryRatio, limits.ExtraRetries)
 		g.retryWindows[service] = window
 	}
 	return window
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -164,7 +164,13 @@
 
 const host = "h.example"
 
+// newTestGateway starts a gateway that may retry.
 func newTestGateway(t *testing.T, upstreams ...*upstream) *testGateway {
+	t.Helper()
+	return newTestGatewayWith(t, kcrgateway.RetryLimits{Window: 10000, RetryRatio: 0.2, ExtraRetries: 50, FirstStart: true}, upstreams...)
+}
+
+func newTestGatewayWith(t *testing.T, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
 	t.Helper()
 	clock := kcrclock.Monotonic()
 	gw := &testGateway{budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights()), crashes: kcrcrash.New(2)}
@@ -191,7 +197,7 @@
 		ListenAddr: "127.0.0.1:0", HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle},
-		Retries:     kcrgateway.RetryLimits{Window: 10000, RetryRatio: 0.2, ExtraRetries: 50},
+		Retries:     retries,
 		RouterCount: func() int { return 1 }, OnCrash: func(kcrid.ContentHash, kcrid.VM) {},
 	})
 	if err != nil {
@@ -438,6 +444,20 @@
 	}
 }
 
+// TestRestartedRouterSavesRetries checks that a router that may have made retries before
+// its start makes none beyond the share of its requests, and tells the reason.
+func TestRestartedRouterSavesRetries(t *testing.T) {
+	t.Parallel()
+	failing := newUpstream(t, "a", func(int, request, net.Conn) bool { return false })
+	serving := newUpstream(t, "b", respondOK)
+	gw := newTestGatewayWith(t, kcrgateway.RetryLimits{Window: 10000, RetryRatio: 0.2, ExtraRetries: 50}, failing, serving)
+	gw.placeNearAndFar(failing, serving)
+	head, body, err := roundTrip(t, gw, "/safe/1", "")
+	if err != nil || head.Status != 502 || !strings.Contains(body, "the retry budget is used up") {
+		t.Fatalf("expected 502 for lack of retries, got %+v %q %v", head, body, err)
+	}
+}
+
 func TestStreamIsForwardedAndCharged(t *testing.T) {
 	t.Parallel()
 	u := newUpstream(t, "u", func(_ int, req request, conn net.Conn) bool {
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -55,6 +55,9 @@
 		if !x.mayRetry() {
 			return reason
 		}
+		if !x.takeRetry() {
+			return reason + reasonNoRetryLeft
+		}
 	}
 	return reason
 }
@@ -69,13 +72,19 @@
 // response of its upstream.
 const reasonUpstreamFailed = "the upstream failed"
 
-// mayRetry reports whether another attempt may follow, and counts it against the
-// retry budget of the service. An attempt that could not connect is repeated
-// without using that budget.
+// reasonNoRetryLeft is appended to the reason of a request that the retry budget kept
+// from another attempt.
+const reasonNoRetryLeft = "; the retry budget is used up"
+
+// mayRetry reports whether the request may be sent to another upstream.
 func (x *exchange) mayRetry() bool {
-	if x.callerLeft.Load() || x.remaining() <= 0 || x.mayHaveRun && (!x.route.Rerunnable() || x.runs >= x.route.MaxRuns) {
-		return false
-	}
+	return !x.callerLeft.Load() && x.remaining() > 0 && (!x.mayHaveRun || x.route.Rerunnable() && x.runs < x.route.MaxRuns)
+}
+
+// takeRetry counts another attempt against the retry budget of the service, and reports
+// whether the budget allows it. An attempt that could not connect is repeated without
+// using that budget.
+func (x *exchange) takeRetry() bool {
 	last := x.attempts[len(x.attempts)-1]
 	if last.result == kcrplacement.Unreachable {
 		return true
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -130,7 +130,7 @@
 	b := &bucket{number: kcrid.Bucket(i), loans: map[kcrid.Plan]bool{}, refusals: map[kcrid.Plan]refusal{}, prefetchAfter: map[kcrid.Plan]kcrclock.Time{}}
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
 		Self: c.Self, Borrower: true, BootClock: c.BootClock, LedgerRules: kcrbudget.DefaultLedgerRules(),
-		Policy: kcrbudget.NoLenderPolicy(func() bool { return n.lacksHome(b) }, n.routerCount, c.EscrowPolicy), Rules: kcrbudget.DefaultWalletRules(),
+		Policy: kcrbudget.NoLenderPolicy(func() bool { return n.lacksHome(b) }, n.escrowSharers, c.EscrowPolicy), Rules: kcrbudget.DefaultWalletRules(),
 	})
 	b.wallet = w
 	b.newFollower = func() *kcrdaemon.Follower {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -94,8 +94,8 @@
 	missingEntryGrace = 1600 * kcrclock.Millisecond
 	// maxCrashes is how many upstreams a request may crash.
 	maxCrashes = 3
-	// assumedRouters is the number of routers that are assumed to share the retry
-	// budget while this router knows no others.
+	// assumedRouters is the number of routers that are assumed to share the escrow
+	// while this router knows no others.
 	assumedRouters = 3
 	// notReadyDelay is how long the load balancer may still send new connections
 	// after the node reports that it is not ready: two health checks, a second apart.
@@ -125,7 +125,7 @@
 	}
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
-		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.routerCount, OnCrash: n.reportCrash,
+		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnCrash: n.reportCrash,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle},
 	})
 	if err != nil {
@@ -143,10 +143,12 @@
 	return n, nil
 }
 
-// routerCount returns how many routers share the retry budget, and the escrow while
-// no home answers.
-func (n *Node) routerCount() int {
-	if count := n.peers.LiveRouters(n.clock.Now()); count > 1 {
+// knownRouters returns how many routers share the retry budget, 0 if it is unknown.
+func (n *Node) knownRouters() int { return n.peers.KnownRouters(n.clock.Now()) }
+
+// escrowSharers returns how many routers share the escrow while no home answers.
+func (n *Node) escrowSharers() int {
+	if count := n.knownRouters(); count > 1 {
 		return count
 	}
 	return assumedRouters
