A planned stop waits for the first request of a new connection

Test: TestStopAwaitsFirstRequest (60 ms between connecting and sending, with and without a stream) failed on the code before.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -99,10 +99,17 @@
 	cancelSweep    context.CancelFunc // stops sweepLoop
 
 	mu           sync.Mutex
-	conns        map[net.Conn]bool                       // connections of callers; true while a request is in progress
+	conns        map[net.Conn]*connState                 // open connections of callers
 	retryWindows map[kcrid.Service]*kcrroute.RetryWindow // retry budgets
 }
 
+// connState is what a planned stop needs to know of a caller's connection.
+type connState struct {
+	acceptedAt kcrclock.Time
+	used       bool // the first byte of a request has arrived
+	busy       bool // a request is in progress
+}
+
 // sweepInterval is the interval at which expired upstream connections are closed.
 const sweepInterval = 500 * time.Millisecond
 
@@ -119,7 +126,7 @@
 		startedAt:    c.Clock.Now(),
 		pool:         newPool(),
 		metrics:      newMetrics(c.Metrics),
-		conns:        map[net.Conn]bool{},
+		conns:        map[net.Conn]*connState{},
 		retryWindows: map[kcrid.Service]*kcrroute.RetryWindow{},
 	}
 	if g.listener, err = net.Listen("tcp", c.ListenAddr); err != nil {
@@ -164,7 +171,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if open {
-		g.conns[conn] = false
+		g.conns[conn] = &connState{acceptedAt: g.clock.Now()}
 		return
 	}
 	delete(g.conns, conn)
@@ -174,7 +181,9 @@
 func (g *Gateway) setBusy(conn net.Conn, busy bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.conns[conn] = busy
+	if state := g.conns[conn]; state != nil {
+		state.busy, state.used = busy, true
+	}
 }
 
 // sweepLoop closes expired upstream connections until the context ends.
@@ -216,19 +225,28 @@
 // balancer does so even longer when all routers of a zone stop at once, so after
 // drainDelay the gateway still serves requests that are certain to finish before
 // the context's deadline, answers others with a Retry-After, and closes each
-// connection after its response. Stop returns when no request is in progress or
-// the context ends.
+// connection after its response. A connection that was accepted a moment ago gets the
+// time to send its first request. Stop returns when no request is in progress or the
+// context ends.
 func (g *Gateway) Stop(ctx context.Context, drainDelay time.Duration) {
 	kcrdaemon.Sleep(ctx, drainDelay)
+	listening := ctx
 	if deadline, ok := ctx.Deadline(); ok {
 		g.stopDeadline.Store(int64(g.clock.Now()) + time.Until(deadline).Milliseconds())
+		var cancel context.CancelFunc
+		listening, cancel = context.WithDeadline(ctx, deadline.Add(-firstRequestTimeout.Std()))
+		defer cancel()
 	}
 	g.stopping.Store(true)
-	g.waitIdle(ctx)
+	g.waitIdle(listening)
 	_ = g.listener.Close()
 	g.waitIdle(ctx) // for connections accepted just before the listener closed
 }
 
+// firstRequestTimeout is how long a planned stop waits for the first request on a new
+// connection.
+const firstRequestTimeout = 500 * kcrclock.Millisecond
+
 // waitIdle closes idle connections until no request is in progress or the
 // context ends.
 func (g *Gateway) waitIdle(ctx context.Context) {
@@ -252,13 +270,14 @@
 // in progress.
 const drainPollInterval = 20 * time.Millisecond
 
-// closeIdle makes connections without a request in progress close, and returns
-// the number of the others.
+// closeIdle makes connections close that have no request in progress and whose first
+// request is not awaited, and returns the number of the others.
 func (g *Gateway) closeIdle() (busyCount int) {
+	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for conn, busy := range g.conns {
-		if busy {
+	for conn, state := range g.conns {
+		if state.busy || !state.used && now.Sub(state.acceptedAt) < firstRequestTimeout {
 			busyCount++
 			continue
 		}
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -776,6 +776,42 @@
 	}
 }
 
+// TestStopAwaitsFirstRequest checks that a planned stop answers requests that arrive a
+// moment after their connection was accepted, while it waits for a stream and after it.
+func TestStopAwaitsFirstRequest(t *testing.T) {
+	t.Parallel()
+	for _, streaming := range []bool{true, false} {
+		u := newUpstream(t, "u", func(n int, req request, conn net.Conn) bool {
+			if !streaming || n > 1 {
+				return respondOK(n, req, conn)
+			}
+			writeStream(conn, req.id(), 1, 2)
+			time.Sleep(400 * time.Millisecond)
+			_, err := io.WriteString(conn, kcrhttp.LastChunk)
+			return err == nil
+		})
+		gw := newTestGateway(t, u)
+		if streaming {
+			go func() { _, _, _ = roundTrip(t, gw, "/stream/1", "") }()
+			waitFor(t, "the request at the upstream", func() bool { return u.requestCount.Load() == 1 })
+		}
+		idle := dial(t, gw)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		go gw.gateway.Stop(ctx, 0)
+		time.Sleep(60 * time.Millisecond)
+		if streaming {
+			idle = dial(t, gw)
+			time.Sleep(60 * time.Millisecond)
+		}
+		_, rawRequest := newRequest("/once/1", "", "body")
+		_, _ = io.WriteString(idle, strings.Replace(rawRequest, "X-Deadline: 1500", "X-Deadline: 300", 1))
+		if head, body, err := readResponse(bufio.NewReader(idle)); err != nil || head.Status != 200 || body != "fine" {
+			t.Errorf("streaming %t: expected a response, got %+v %q %v", streaming, head, body, err)
+		}
+	}
+}
+
 // TestUnreachableEngineOfNonResumableStream checks that a stream that must not be
 // resumed elsewhere ends before its caller gives up, if its engine accepts no
 // connection any more.
