Schedules of the proofs repeat by seed

Ruled out: the simulations' own maps; no choice depends on them.

Change: records are made in the order of the plans and holders (Home.Tick, Retire, CloseServer, refund; Wallet.Tick, Retire, inheritGrants). A mutant gets 1,000 schedules at the least, however few the check gets.

--- a/bench/kcrproof/proof.go
+++ b/bench/kcrproof/proof.go
@@ -37,9 +37,12 @@
 	return r.IntN
 }
 
-// mutantSeedFactor multiplies the number of seeds that are tried to find a violation
-// of a mutant.
-const mutantSeedFactor = 10
+// A violation of a mutant is looked for with mutantSeedFactor times as many seeds as the
+// check was run with, and with minMutantSeeds at the least.
+const (
+	mutantSeedFactor = 10
+	minMutantSeeds   = 1000
+)
 
 // Steps of one schedule; for the answer proof, rounds of one answer each.
 const (
@@ -102,7 +105,7 @@
 	}
 	var violations []string
 	for _, m := range s.mutants {
-		seed, err := findViolation(s.rules, m, s.check, mutantSeedFactor*seeds, s.steps)
+		seed, err := findViolation(s.rules, m, s.check, max(minMutantSeeds, mutantSeedFactor*seeds), s.steps)
 		if err == nil {
 			row.Err = fmt.Errorf("mutant %q: expected a violation, got none", m.Name)
 			return row
--- a/bench/kcrproof/proof_test.go
+++ b/bench/kcrproof/proof_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"kingcuprun.example/kernel/kcrintent"
+	"kingcuprun.example/kernel/kcrlist"
 )
 
 // testSeeds is the number of schedules of each proof in CI; "make proof" runs more.
@@ -24,6 +27,34 @@
 	}
 }
 
+// A seed determines a schedule: each time, the simulations make the same choices.
+func TestSchedulesRepeat(t *testing.T) {
+	t.Parallel()
+	choices := func(seed uint64, check func(Pick) error) (hash uint64) {
+		pick := Seeded(seed)
+		err := check(func(n int) int {
+			chosen := pick(n)
+			hash = hash*31 + uint64(n*1000+chosen)
+			return chosen
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		return hash
+	}
+	for name, check := range map[string]func(Pick) error{
+		"budget": func(p Pick) error { _, err := CheckBudget(DefaultBudgetRules(), p, budgetSteps); return err },
+		"once":   func(p Pick) error { _, err := CheckOnce(kcrintent.DefaultRules(), p, onceSteps); return err },
+		"config": func(p Pick) error { _, err := CheckConfig(kcrlist.DefaultRules(), p, configSteps); return err },
+	} {
+		for seed := range uint64(5) {
+			if first, second := choices(seed, check), choices(seed, check); first != second {
+				t.Errorf("%s, seed %d: expected the same choices, got others", name, seed)
+			}
+		}
+	}
+}
+
 // These seeds once led to schedules in which a plan spent more than its budget.
 func TestBudgetRegressions(t *testing.T) {
 	t.Parallel()
--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -137,12 +137,14 @@
 // inheritGrants closes the grants of earlier processes on this machine. Each
 // grant is settled at the most that its bound allowed until this process started.
 func (w *Wallet) inheritGrants() {
-	for name, h := range w.ledger.holders {
+	for _, name := range sortedKeys(w.ledger.holders) {
+		h := w.ledger.holders[name]
 		if name == w.self || name.VM() != w.self.VM() || h.Fenced != 0 || len(h.Grants) == 0 {
 			continue
 		}
 		msg := &kcrentry.Inherit{Holder: string(name)}
-		for p, g := range h.Grants {
+		for _, p := range sortedKeys(h.Grants) {
+			g := h.Grants[p]
 			since := w.startedAt.Sub(g.Bound.MadeAt)
 			if g.Bound.MadeAt == 0 || !w.rules.SameBoot(w.bootClock, g.Bound) || since < 0 || since > maxInheritAge {
 				continue
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -346,8 +346,8 @@
 	if reportDue {
 		h.reportedAt = now
 	}
-	for p, ps := range h.planStates {
-		h.tickPlan(now, p, ps, reportDue)
+	for _, p := range sortedKeys(h.planStates) {
+		h.tickPlan(now, p, h.planStates[p], reportDue)
 	}
 	h.forgetOldCalls(now)
 	h.tickRecovery(now)
@@ -388,7 +388,7 @@
 		return 0
 	}
 	msg := &kcrentry.Refund{Holder: string(h.self)}
-	for p := range own.Grants {
+	for _, p := range sortedKeys(own.Grants) {
 		msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(h.planState(p).spent)})
 	}
 	h.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Refund{Refund: msg}})
--- a/kernel/kcrbudget/home_sidecars.go
+++ b/kernel/kcrbudget/home_sidecars.go
@@ -151,8 +151,8 @@
 		}
 	}
 	msg := &kcrentry.Close{Server: string(s)}
-	for p, t := range state.used {
-		if t > 0 {
+	for _, p := range sortedKeys(state.used) {
+		if t := state.used[p]; t > 0 {
 			msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(t)})
 		}
 	}
--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -15,8 +15,10 @@
 package kcrbudget
 
 import (
+	"cmp"
 	"encoding/json"
-	"sort"
+	"maps"
+	"slices"
 
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
@@ -444,14 +446,17 @@
 	delete(l.seen, oldest)
 }
 
+// sortedKeys returns the keys of a map, sorted. Records that are made for each key are
+// in the same order each time, so that equal schedules give equal streams.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 // OtherHolders returns the holders other than self that have open grants, sorted.
 func (l *Ledger) OtherHolders(self kcrid.Incarnation) (holders []kcrid.Incarnation) {
-	for name, h := range l.holders {
-		if name != self && len(h.Grants) > 0 {
+	for _, name := range sortedKeys(l.holders) {
+		if name != self && len(l.holders[name].Grants) > 0 {
 			holders = append(holders, name)
 		}
 	}
-	sort.Slice(holders, func(i, j int) bool { return holders[i] < holders[j] })
 	return holders
 }
 
@@ -460,13 +465,7 @@
 func (l *Ledger) Holder(name kcrid.Incarnation) *Holder { return l.holders[name] }
 
 // Plans returns the plans that have an account, sorted.
-func (l *Ledger) Plans() (plans []kcrid.Plan) {
-	for p := range l.accounts {
-		plans = append(plans, p)
-	}
-	sort.Slice(plans, func(i, j int) bool { return plans[i] < plans[j] })
-	return plans
-}
+func (l *Ledger) Plans() []kcrid.Plan { return sortedKeys(l.accounts) }
 
 // ledgerSnapshot is the JSON form of a ledger snapshot.
 type ledgerSnapshot struct {
--- a/kernel/kcrbudget/recovery.go
+++ b/kernel/kcrbudget/recovery.go
@@ -129,8 +129,8 @@
 		}
 	}
 	msg := &kcrentry.Refund{Holder: string(holder), Fence: uint64(state.Fenced)}
-	for p, g := range state.Grants {
-		msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(sum[p] + g.ClosedSpent)})
+	for _, p := range sortedKeys(state.Grants) {
+		msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(sum[p] + state.Grants[p].ClosedSpent)})
 	}
 	r.refundSent = true
 	h.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Refund{Refund: msg}})
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -479,7 +477,8 @@
 		return
 	}
 	due := now.Sub(w.reportedAt) >= walletReportInterval && w.outbox.Len() == 0
-	for p, ps := range w.planStates {
+	for _, p := range sortedKeys(w.planStates) {
+		ps := w.planStates[p]
 		ps.updateRates(now, w.ledger.SpentByOthers(p, w.self))
 		w.refill(now, p, ps, 0)
 		if !due {
@@ -506,8 +505,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.retired = true
-	for p, ps := range w.planStates {
-		w.returnFree(now, p, ps)
+	for _, p := range sortedKeys(w.planStates) {
+		w.returnFree(now, p, w.planStates[p])
 	}
 }
 
@@ -579,7 +578,7 @@
 		_, _ = h.Write(r)
 	}
 	_, _ = fmt.Fprint(h, last)
-	for _, p := range slices.Sorted(maps.Keys(w.planStates)) {
+	for _, p := range sortedKeys(w.planStates) {
 		_, _ = fmt.Fprintf(h, "%s %+v", p, *w.planStates[p])
 	}
 	return h.Sum64()
