A planned stop of a process breaks off no call of another process

Change: kcrlink.Server.Shutdown makes each session reject new calls, waits until the peers know it (two pings), ends the calls in progress, then closes. A call that is rejected, or whose stream closes before all of the request is sent, has the error ErrNotSent, so it is tried elsewhere. A home that stops refuses a return of escrow with a code; the router then gives the tokens to the next home or keeps them (they were dropped before).

Ruled out: refusing with "leaving" alone; it was there, and the close overtook it.

--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -1,9 +1,9 @@
 // Package kcrlink is the RPC layer between kingcuprun's own processes: protobuf messages
 // over yamux streams over TCP. Each call has a stream of its own.
 //
-// The package does not repeat messages. An error of Pool.Open that wraps ErrNotSent
-// proves that the peer did not receive the request; after any other error, the peer may
-// have received it.
+// The package does not repeat messages. An error of Pool.Open or of the first Recv that
+// wraps ErrNotSent proves that the peer did not serve the request; after any other error,
+// the peer may have served it.
 package kcrlink
 
 import (
@@ -37,21 +37,27 @@
 	keepAliveInterval = 10 * time.Second
 )
 
-// ErrNotSent is wrapped by errors that prove that the peer did not receive the request.
+// ErrNotSent is wrapped by errors that prove that the peer did not serve the request.
 var ErrNotSent = errors.New("not sent")
 
+// errRejected is the error of a call that the peer rejected before it served it, since it
+// shuts down or is overloaded. A session resets a stream in these two cases only.
+var errRejected = fmt.Errorf("%w: the peer rejected the call", ErrNotSent)
+
 // Stream is one end of a call. At most one goroutine at a time may use Send, and at most
 // one Recv.
 type Stream struct {
-	conn   net.Conn
-	reader *bufio.Reader
+	conn     net.Conn
+	reader   *bufio.Reader
+	received bool // Recv has returned a message
 }
 
 func newStream(conn net.Conn) *Stream {
 	return &Stream{conn: conn, reader: bufio.NewReader(conn)}
 }
 
-// Send writes a message of at most MaxMessage bytes.
+// Send writes a message of at most MaxMessage bytes. The peer serves no request of which
+// it has not received all.
 func (s *Stream) Send(m proto.Message) (err error) {
 	defer kcrerror.Annotate(&err, "send to %s", s.conn.RemoteAddr())
 	if size := proto.Size(m); size > MaxMessage {
@@ -61,12 +67,33 @@
 		return err
 	}
 	_, err = protodelim.MarshalTo(s.conn, m)
-	return err
+	return s.callError(err)
+}
+
+// callError returns an error that wraps ErrNotSent for a stream that the peer has reset
+// before it sent anything, or that was closed before all of the request was sent. It
+// returns any other error as it is.
+func (s *Stream) callError(err error) error {
+	switch {
+	case s.received:
+		return err
+	case errors.Is(err, yamux.ErrConnectionReset):
+		return errRejected
+	case errors.Is(err, yamux.ErrStreamClosed):
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	default:
+		return err
+	}
 }
 
 // Recv reads a message. It returns io.EOF if the peer has closed its end of the call.
 func (s *Stream) Recv(m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(s.reader, m)
+	err := protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(s.reader, m)
+	if err != nil {
+		return s.callError(err)
+	}
+	s.received = true
+	return nil
 }
 
 // SetRecvDeadline sets the deadline of Recv. The zero time removes it.
@@ -94,8 +121,9 @@
 	cancel   context.CancelFunc
 	wg       conc.WaitGroup
 
-	mu       sync.Mutex
-	sessions map[*yamux.Session]bool // open sessions
+	mu          sync.Mutex
+	sessions    map[*yamux.Session]bool // open sessions
+	activeCalls int                     // calls whose handler has not returned
 }
 
 // Listen starts a server on an address of the form ip:port. The handler is called once
@@ -157,7 +185,11 @@
 			cancel()
 			return
 		}
-		calls.Go(func() { s.serveCall(ctx, newStream(conn)) })
+		s.addActiveCalls(1)
+		calls.Go(func() {
+			defer s.addActiveCalls(-1)
+			s.serveCall(ctx, newStream(conn))
+		})
 	}
 }
 
@@ -171,6 +203,59 @@
 	s.handler(ctx, &req, stream)
 }
 
+// addActiveCalls changes the number of active calls and returns it.
+func (s *Server) addActiveCalls(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.activeCalls += n
+	return s.activeCalls
+}
+
+// shutdownPollInterval is the time between two checks whether calls are active.
+const shutdownPollInterval = 5 * time.Millisecond
+
+// Shutdown stops the server without breaking off a call: it rejects new calls, so that
+// their callers get ErrNotSent, waits until the handlers of the others have returned or
+// ctx ends, and closes the server.
+func (s *Server) Shutdown(ctx context.Context) {
+	_ = s.listener.Close()
+	rejecting := make(chan struct{})
+	go func() {
+		s.rejectCalls()
+		close(rejecting)
+	}()
+	select {
+	case <-rejecting:
+	case <-ctx.Done():
+	}
+	for idle := false; !idle && ctx.Err() == nil; {
+		select { // also leaves the time to start the calls that were accepted last
+		case <-ctx.Done():
+		case <-time.After(shutdownPollInterval):
+		}
+		idle = s.addActiveCalls(0) == 0
+	}
+	s.Close()
+}
+
+// rejectCalls makes all sessions reject new calls, and returns when the peers know it.
+func (s *Server) rejectCalls() {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for session := range s.sessions {
+		wg.Go(func() {
+			// A session that has ended gets no calls, so its errors do not matter. The
+			// first ping returns after the peer has read that it must open no more calls,
+			// the second after it has read the rejections of those that it had opened.
+			_ = session.GoAway()
+			_, _ = session.Ping()
+			_, _ = session.Ping()
+		})
+	}
+}
+
 // Close stops the server, ends its sessions, and waits until the handlers have returned.
 func (s *Server) Close() {
 	s.cancel()
--- a/link/kcrlink/link_test.go
+++ b/link/kcrlink/link_test.go
@@ -5,8 +5,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/encoding/protodelim"
 
@@ -46,6 +49,46 @@
 	}
 }
 
+// TestShutdown checks that a planned stop breaks off no call: each call gets its reply or
+// an error that proves that it was not served, and no other.
+func TestShutdown(t *testing.T) {
+	t.Parallel()
+	var served, replied, rejected atomic.Int64
+	server, err := Listen("127.0.0.1:0", func(_ context.Context, _ *kcrwire.Request, stream *Stream) {
+		served.Add(1)
+		time.Sleep(3 * time.Millisecond)
+		_ = stream.Send(&kcrwire.Reply{Kind: &kcrwire.Reply_Loaded{Loaded: &kcrwire.Loaded{}}})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var callers conc.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			pool := NewPool()
+			defer pool.Close()
+			for rejected.Load() < 200 {
+				_, err := pool.Call(t.Context(), server.Addr(), &kcrwire.Request{Kind: &kcrwire.Request_Load{Load: &kcrwire.Load{}}})
+				switch {
+				case err == nil:
+					replied.Add(1)
+				case errors.Is(err, ErrNotSent):
+					rejected.Add(1)
+				default:
+					t.Errorf("expected a reply or ErrNotSent, got %v", err)
+					rejected.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	server.Shutdown(t.Context())
+	callers.Wait()
+	if served.Load() != replied.Load() || replied.Load() == 0 {
+		t.Errorf("expected a reply to each call that was served, got %d replies to %d", replied.Load(), served.Load())
+	}
+}
+
 // FuzzMessage checks that no input makes the reading of a message panic.
 func FuzzMessage(f *testing.F) {
 	var buf bytes.Buffer
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -170,7 +170,7 @@
 	plan := kcrid.Plan(req.GetPlan())
 	home := h.homeOf(kcrid.BucketOf(plan, uint32(h.config.BucketCount)))
 	if home == nil {
-		return &kcrwire.Reply{Error: "the home stops"}
+		return &kcrwire.Reply{Kind: &kcrwire.Reply_Lent{Lent: &kcrwire.Lent{Code: kcrbudget.NotHolder.String()}}}
 	}
 	if v := req.GetVersion(); v > 0 {
 		home.wallet.SetLimit(plan, v, kcrid.Tokens(req.GetPrepaid()))
@@ -245,9 +245,13 @@
 	home.follower.WriteSnapshot(ctx) // no other process may follow the stream for a long time
 }
 
-// Stop is a planned stop: it closes all homes, and returns their escrow to the ledger
-// as far as ctx allows.
+// Stop is a planned stop: it answers the requests that have arrived and rejects others,
+// so that routers ask another home. Then it closes all homes, and returns their escrow to
+// the ledger as far as ctx allows.
 func (h *Host) Stop(ctx context.Context) {
+	serving, cancel := context.WithTimeout(ctx, 2*maxLendWait.Std())
+	h.server.Shutdown(serving)
+	cancel()
 	h.mu.Lock()
 	h.stopped = true
 	homes := h.homes
@@ -258,5 +262,4 @@
 		h.wg.Go(func() { h.close(ctx, home) })
 	}
 	h.wg.Wait()
-	h.server.Close()
 }
--- a/router/kcrhome/home_test.go
+++ b/router/kcrhome/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -154,6 +155,35 @@
 	}
 }
 
+// TestStopRejectsCalls checks that a host that stops answers each call or rejects it with
+// the proof that it was not served, so that no loan and no return is lost with it.
+func TestStopRejectsCalls(t *testing.T) {
+	t.Parallel()
+	m := &memoryLog{streams: map[kcrid.Stream][][]byte{}}
+	h, lend := newHost(t, m)
+	for lend(&kcrwire.Lend{Plan: plan, Need: 1, Tokens: 1, Version: 1, Prepaid: 1 << 40}).GetTokens() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	pool := kcrlink.NewPool()
+	t.Cleanup(pool.Close)
+	stopped := make(chan struct{})
+	time.AfterFunc(30*time.Millisecond, func() {
+		h.Stop(t.Context())
+		close(stopped)
+	})
+	for rejected := 0; rejected < 20; {
+		req := &kcrwire.Lend{Plan: plan, Back: 1, Buckets: 1}
+		reply, err := pool.Call(t.Context(), h.Addr(), &kcrwire.Request{Kind: &kcrwire.Request_Lend{Lend: req}})
+		switch {
+		case errors.Is(err, kcrlink.ErrNotSent):
+			rejected++
+		case err != nil || reply.GetLent().GetCode() != "granted":
+			t.Fatalf("expected the return to be taken or rejected, got %v (%v)", reply, err)
+		}
+	}
+	<-stopped
+}
+
 // BenchmarkLoan measures one loan over loopback, including the work of both sides.
 func BenchmarkLoan(b *testing.B) {
 	m := &memoryLog{streams: map[kcrid.Stream][][]byte{}}
--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -64,6 +64,9 @@
 	answered := make(chan bool, 1)
 	n.wg.Go(func() {
 		loan, err := n.callHome(addr, n.loanRequest(plan, need, want))
+		if err == nil && loan.Outcome == kcrbudget.NotHolder {
+			err = errHomeStops
+		}
 		if err != nil {
 			n.recordLoanFailure(addr, plan, need, err)
 		} else {
@@ -80,6 +83,9 @@
 	}
 }
 
+// errHomeStops is the error of a call to a home that takes part in no loans any more.
+var errHomeStops = errors.New("the home stops")
+
 // recordLoanFailure logs that a call for a loan failed, and makes the directory
 // skip the home for a time.
 func (n *Node) recordLoanFailure(addr string, plan kcrid.Plan, need kcrid.Tokens, err error) {
@@ -157,11 +163,15 @@
 }
 
 // returnEscrow gives borrowed tokens to a home, which need not be the one that lent
-// them. Tokens in transit when the connection fails are lost. If no home could be
-// reached, the wallet keeps the tokens.
+// them. Tokens in transit when the connection fails are lost. If no home took them, the
+// wallet keeps the tokens.
 func (n *Node) returnEscrow(b *bucket, excess kcrbudget.Amount) {
 	for _, addr := range n.homes.candidates(n.clock.Now(), b.number) {
-		_, err := n.callHome(addr, &kcrwire.Lend{Plan: string(excess.Plan), Back: int64(excess.Tokens)})
+		taken, err := n.callHome(addr, &kcrwire.Lend{Plan: string(excess.Plan), Back: int64(excess.Tokens)})
+		if err == nil && taken.Outcome != kcrbudget.Granted {
+			n.logger.Info("return of escrow refused", "plan", string(excess.Plan), "holder", addr, "code", taken.Outcome.String())
+			continue
+		}
 		if err == nil {
 			n.logger.Info("escrow", "what", "returned", "plan", string(excess.Plan), "holder", addr, "tokens", int64(excess.Tokens))
 			return
