A sidecar's run ends for its readers last, and asks again for a barred reservation

Two causes (KNOWN-RED, TestRollingReplacement and TestStartDuringLogOutage), each traced in the log of a failed run: - "the reservation was used before": a report bars all reservations up to the newest that the home named; where the answer with that reservation was still on its way, the run was refused, though nothing had run. Now the sidecar asks again, and the home, which has taken the barred one back, grants another. - "the request has run and its answer cannot be reached", and "the budget cannot be known now" during an outage: a run that was refused told its router so before its record at the home, and its entry in the table of runs, were gone. The router's next attempt at another sidecar found the record and went back to the first. Now the answer ends after both.

--- a/sidecar/kcrsidecar/run.go
+++ b/sidecar/kcrsidecar/run.go
@@ -22,34 +22,50 @@
 const homeAckTimeout = 500 * time.Millisecond
 
 // maxReserveRetries is how often a run asks again for its reservation, at intervals
-// of settleInterval, while the previous run of the same call is not settled.
+// of settleInterval, while the previous run of the same call is not settled, or while
+// its home has not taken back a reservation that this sidecar has barred.
 const maxReserveRetries = 5
 
-// executeRun executes a run from the limiter to the settlement. Whatever happens,
-// the answer is ended and the run is finished in the table.
+// runEnd is the end of a run: its label in logs and metrics, the tokens that it used, and
+// the error for the caller, nil if the answer is complete.
+type runEnd struct {
+	label    string
+	tokens   kcrid.Tokens
+	err      error
+	complete bool
+}
+
+// refusedRun is the end of a run that was not sent to the upstream.
+func refusedRun(err error) runEnd { return runEnd{label: "refused", err: err} }
+
+// executeRun executes a run from the limiter to the settlement. Its answer ends last: a
+// router that reads the end may try the call elsewhere at once, and must find neither this
+// run nor a record of it any more.
 func (s *Sidecar) executeRun(ctx context.Context, req *kcrwire.Start, run *callRun) {
-	complete := false
-	defer func() { s.runs.finish(run, complete) }()
+	end := s.performRun(ctx, req, run)
+	s.runs.finish(run, end.complete)
+	s.recordEnd(req, run, end)
+}
+
+// performRun executes a run and returns its end.
+func (s *Sidecar) performRun(ctx context.Context, req *kcrwire.Start, run *callRun) (end runEnd) {
 	suspect, _ := s.configState.SuspectStatus(run.content)
 	isolated := suspect || req.GetApart() || s.crashes.suspected(run.content)
 	ticket, err := s.admission.acquire(ctx, req.GetRank(), isolated)
 	if err != nil {
-		s.recordOutcome(req, run, "refused", 0, notRunRefusal(err))
-		return
+		return refusedRun(notRunRefusal(err))
 	}
 	defer s.admission.release(ticket)
 	endRecord, err := s.recordAtHome(req, run)
 	if err != nil {
-		s.recordOutcome(req, run, "refused", 0, err)
-		return
+		return refusedRun(err)
 	}
-	defer func() { endRecord(runOutcome(complete)) }()
+	defer func() { endRecord(runOutcome(end.complete)) }()
 	reserved, err := s.reserveWorstCase(ctx, req, run)
 	if err != nil {
-		s.recordOutcome(req, run, "refused", 0, err)
-		return
+		return refusedRun(err)
 	}
-	complete = s.callEngine(ctx, req, run, reserved, isolated)
+	return s.callEngine(ctx, req, run, reserved, isolated)
 }
 
 // runOutcome returns the outcome with which the record of a run ends.
@@ -85,37 +101,59 @@
 	return &kcrerror.Refusal{Code: kcrerror.Overloaded, Text: "the caller left before the start", RetryAfterSeconds: 1}
 }
 
-// recordOutcome ends the answer of a run, and counts and logs its outcome.
-func (s *Sidecar) recordOutcome(req *kcrwire.Start, run *callRun, label string, tokens kcrid.Tokens, err error) {
-	run.answer.End(tokens, err)
-	s.metrics.runs.WithLabelValues(label).Inc()
-	s.decisions.Add(req.GetId(), "run ended", "outcome", label, "plan", req.GetPlan(), "tokens", tokens)
+// recordEnd ends the answer of a run, and counts and logs its end.
+func (s *Sidecar) recordEnd(req *kcrwire.Start, run *callRun, end runEnd) {
+	s.metrics.runs.WithLabelValues(end.label).Inc()
+	s.decisions.Add(req.GetId(), "run ended", "outcome", end.label, "plan", req.GetPlan(), "tokens", end.tokens)
+	run.answer.End(end.tokens, end.err)
 }
 
 // reserveWorstCase gets a reservation for the most tokens that the run may use and
 // begins the run at the meter. While the home still knows an earlier run of the call
-// at this sidecar, or its reservation is not settled, it asks again.
+// at this sidecar, or its reservation is not settled, it asks again. It also asks again if
+// a report barred the reservation while its answer was on the way.
 func (s *Sidecar) reserveWorstCase(ctx context.Context, req *kcrwire.Start, run *callRun) (reserved reservation, err error) {
 	reserveReq := kcrbudget.ReserveRequest{
 		Call: run.call, Plan: kcrid.Plan(req.GetPlan()), Server: s.incarnation, Addr: s.config.UpstreamSettings.Listen,
 		WorstCase: kcrid.Tokens(req.GetWorst()),
 	}
-	reserved, result := s.requestReservation(ctx, reserveReq)
-	reserveReq.AllowRerun = result.Outcome == kcrbudget.Running && result.Server == s.incarnation
-	for i := 0; i < maxReserveRetries && (s.settler.isUnacked(reserved) || reserveReq.AllowRerun && result.Outcome == kcrbudget.Running); i++ {
-		time.Sleep(settleInterval)
+	for retries := 0; ; retries++ {
+		var result kcrbudget.ReserveResult
 		reserved, result = s.requestReservation(ctx, reserveReq)
+		if retries == 0 {
+			reserveReq.AllowRerun = result.Outcome == kcrbudget.Running && result.Server == s.incarnation
+		}
+		unsettled := s.settler.isUnacked(reserved) || reserveReq.AllowRerun && result.Outcome == kcrbudget.Running
+		if !unsettled || retries == maxReserveRetries {
+			s.decisions.Add(req.GetId(), "reservation", "plan", req.GetPlan(), "worst", req.GetWorst(), "code", result.Outcome.String(), "holder", reserved.holder)
+			if err = budgetRefusal(result); err == nil {
+				err = s.beginRun(reserved, reserveReq)
+			}
+			if !errors.Is(err, kcrbudget.ErrReservationUsed) || retries == maxReserveRetries {
+				return reserved, startRefusal(err)
+			}
+		}
+		time.Sleep(settleInterval)
 	}
-	s.decisions.Add(req.GetId(), "reservation", "plan", req.GetPlan(), "worst", req.GetWorst(), "code", result.Outcome.String(), "holder", reserved.holder)
-	if err := budgetRefusal(result); err != nil {
-		return reserved, err
-	}
+}
+
+// beginRun begins a run under a reservation at the meter.
+func (s *Sidecar) beginRun(reserved reservation, req kcrbudget.ReserveRequest) error {
 	s.settler.addActive(reserved)
-	if err := s.meter.Begin(reserved.holder, reserved.id, reserveReq.Plan, reserveReq.WorstCase); err != nil {
+	err := s.meter.Begin(reserved.holder, reserved.id, req.Plan, req.WorstCase)
+	if err != nil {
 		s.settler.removeActive(reserved)
-		return reserved, &kcrerror.Refusal{Code: kcrerror.BudgetUnknown, Text: err.Error(), RetryAfterSeconds: 1}
 	}
-	return reserved, nil
+	return err
+}
+
+// startRefusal returns the refusal for an error of the meter. Other errors are refusals
+// already.
+func startRefusal(err error) error {
+	if errors.Is(err, kcrbudget.ErrReservationUsed) || errors.Is(err, kcrbudget.ErrHolderFenced) {
+		return &kcrerror.Refusal{Code: kcrerror.BudgetUnknown, Text: err.Error(), RetryAfterSeconds: 1}
+	}
+	return err
 }
 
 // budgetRefusal returns the refusal for the result of a home, nil if it granted the
@@ -134,8 +172,8 @@
 }
 
 // callEngine sends the request to the upstream, meters the answer, queues the
-// settlement, and reports whether the answer is complete.
-func (s *Sidecar) callEngine(ctx context.Context, req *kcrwire.Start, run *callRun, reserved reservation, isolated bool) (complete bool) {
+// settlement, and returns the end of the run.
+func (s *Sidecar) callEngine(ctx context.Context, req *kcrwire.Start, run *callRun, reserved reservation, isolated bool) runEnd {
 	s.crashes.begin(run.content)
 	defer s.crashes.end(run.content)
 	metered := &meteredAnswer{sidecar: s, ctx: ctx, run: run, reservation: reserved, counter: tokenCounter{stream: req.GetStream()}, startedAt: s.clock.Now()}
@@ -161,8 +199,7 @@
 	if outcome == kcrbudget.Complete {
 		s.awaitHomeAck(req, acked)
 	}
-	s.recordOutcome(req, run, label, served, refusal)
-	return outcome == kcrbudget.Complete
+	return runEnd{label: label, tokens: served, err: refusal, complete: outcome == kcrbudget.Complete}
 }
 
 // awaitHomeAck waits until the home has received the settlement of a complete answer,
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -230,6 +230,7 @@
 	defer cancel()
 	s.settler.drain(ctx)
 	s.homes.retire(ctx)
+	s.server.Shutdown(ctx)
 	s.close()
 }
 
