A follower reads again what it has appended where a waiting read was not told

All readers of the stream saw the same gap.

Change: after an append that isn't applied within 20 ms the follower reads the stream once more without waiting, then at doubled intervals.

--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +66,11 @@
 	// call of Wake.
 	idleInterval   = 250 * time.Millisecond
 	confirmTimeout = time.Second
-	maxBatch       = 256 // records
+	// firstReread is how long after an append the stream is read again if the batch is
+	// not confirmed: a read that waits for records may not be told of the new one. The
+	// time doubles with each further read.
+	firstReread = 20 * time.Millisecond
+	maxBatch    = 256 // records
 	// snapshotRecords is the number of records after which a snapshot is written.
 	snapshotRecords = 2000
 	// idleSnapshotFactor is the number of snapshot intervals after which a snapshot
@@ -82,7 +87,6 @@
 	stream           kcrid.Stream
 	machine          StateMachine
 	logger           *slog.Logger
-	next             kcrid.Offset // offset of the next record to apply
 	snapshotOffset   kcrid.Offset // offset of the last snapshot that was attempted; initially that of the state
 	snapshotTime     time.Time    // time of the last snapshot that was attempted; initially the start time
 	snapshotInterval time.Duration
@@ -91,6 +95,9 @@
 	wake             chan struct{}  // receives a value when there may be records to append
 	cancel           context.CancelFunc
 	wg               conc.WaitGroup
+
+	applying sync.Mutex   // held while records are applied
+	next     kcrid.Offset // offset of the next record to apply
 }
 
 // NewFollower starts to follow a stream. While records arrive, a snapshot is written
@@ -98,7 +105,7 @@
 func NewFollower(log kcrlog.Log, stream kcrid.Stream, machine StateMachine, logger *slog.Logger, snapshotInterval time.Duration) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
-		log: log, stream: stream, machine: machine, logger: logger, next: machine.Offset() + 1, cancel: cancel, wake: make(chan struct{}, 1),
+		log: log, stream: stream, machine: machine, logger: logger, cancel: cancel, wake: make(chan struct{}, 1),
 		snapshotOffset: machine.Offset(), snapshotTime: time.Now(), snapshotInterval: snapshotInterval, clock: kcrclock.Monotonic(),
 	}
 	f.endReachedAt.Store(int64(f.clock.Now()))
@@ -134,24 +141,16 @@
 func (f *Follower) readLoop(ctx context.Context) {
 	wait := kcrclock.Duration(0)
 	for ctx.Err() == nil {
-		if at := f.machine.Offset(); at >= f.next {
-			f.next = at + 1
-		}
-		page, err := f.log.Read(ctx, f.stream, f.next, wait)
+		page, err := f.log.Read(ctx, f.stream, f.nextOffset(), wait)
 		if err != nil {
 			f.logger.Debug("log read failed", "stream", f.stream, "err", err)
 			Sleep(ctx, errorDelay)
 			continue
 		}
-		if page.FirstOffset > f.next && f.machine.AllowsGaps {
-			f.next = page.FirstOffset
-		}
-		if page.FirstOffset > f.next && !f.restore(ctx, page.FirstOffset) {
-			f.logger.Error("state cannot be restored: the log has deleted records that no snapshot covers", "stream", f.stream, "need", f.next, "first", page.FirstOffset)
+		if !f.applyPage(ctx, page) {
 			Sleep(ctx, time.Second)
 			continue
 		}
-		f.applyPage(page)
 		wait = readWait
 		if f.machine.ReadDelay != nil {
 			Sleep(ctx, f.machine.ReadDelay())
@@ -159,9 +158,27 @@
 	}
 }
 
+// nextOffset returns the offset of the next record to apply.
+func (f *Follower) nextOffset() kcrid.Offset {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.next = max(f.next, f.machine.Offset()+1)
+	return f.next
+}
+
 // applyPage applies the records of a page that follow the state. A record that is not
-// an entry is skipped, as every reader must do.
-func (f *Follower) applyPage(page kcrlog.Page) {
+// an entry is skipped, as every reader must do. It returns false if the log has deleted
+// the next record and the state can't be restored.
+func (f *Follower) applyPage(ctx context.Context, page kcrlog.Page) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if page.FirstOffset > f.next && f.machine.AllowsGaps {
+		f.next = page.FirstOffset
+	}
+	if page.FirstOffset > f.next && !f.restore(ctx, page.FirstOffset) {
+		f.logger.Error("state cannot be restored: the log has deleted records that no snapshot covers", "stream", f.stream, "need", f.next, "first", page.FirstOffset)
+		return false
+	}
 	for _, r := range page.Records {
 		if r.Offset != f.next {
 			continue
@@ -180,6 +197,7 @@
 			f.machine.MarkReady()
 		}
 	}
+	return true
 }
 
 // restore restores the newest snapshot after which the log still holds all records;
@@ -273,10 +291,11 @@
 	}
 }
 
-// appendBatch appends a batch and waits up to confirmTimeout until the read loop has
-// applied it. last is the sequence of its last record. After an error it waits as
-// well, since the append may have taken effect.
+// appendBatch appends a batch and waits up to confirmTimeout until it is applied. last is
+// the sequence of its last record. After an error it waits as well, since the append may
+// have taken effect.
 func (f *Follower) appendBatch(ctx context.Context, records [][]byte, last uint64) {
+	reread := firstReread
 	if err := f.log.Append(ctx, f.stream, records); err != nil {
 		f.logger.Debug("log append failed", "stream", f.stream, "err", err)
 		Sleep(ctx, errorDelay)
@@ -285,10 +304,24 @@
 		if _, newLast := f.machine.Batch(len(records)); newLast != last {
 			return
 		}
+		if waited >= reread {
+			reread *= 2
+			f.readNow(ctx)
+		}
 		Sleep(ctx, appendInterval)
 	}
 }
 
+// readNow reads the stream without waiting for records, and applies what it gets.
+func (f *Follower) readNow(ctx context.Context) {
+	page, err := f.log.Read(ctx, f.stream, f.nextOffset(), 0)
+	if err != nil {
+		f.logger.Debug("log read failed", "stream", f.stream, "err", err)
+		return
+	}
+	f.applyPage(ctx, page)
+}
+
 // isSnapshotDue tells whether to write a snapshot: after snapshotRecords records, after
 // snapshotInterval if any record was applied, and after a longer time in any case,
 // since the log deletes snapshots after its retention time as well.
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -144,7 +144,8 @@
 	service           kcrid.Service
 	maxTokensPerEvent kcrid.Tokens // of a stream, 0 if the service does not count tokens
 	usage             usage
-	spentTokens       kcrid.Tokens // charged to the team's budget
+	spentTokens       kcrid.Tokens      // charged to the team's budget
+	budgetWait        kcrclock.Duration // until the budget was reserved or refused
 	deadline          kcrclock.Time
 	content           kcrid.ContentHash // hash of target, team and body, 0 without a body
 	attempts          []attemptRecord   // ended attempts, in order
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -204,7 +204,9 @@
 		return true
 	}
 	maxWait := min(x.route.LatencyTarget/budgetWaitDivisor, x.remaining()/budgetWaitDivisor)
+	start := x.gateway.clock.Now()
 	outcome := x.gateway.config.Budget.Reserve(x.team.Name, x.usage.maxTokens(), maxWait, x.cancelled)
+	x.budgetWait = x.gateway.clock.Now().Sub(start)
 	switch outcome {
 	case kcrbudget.Granted:
 		return true
