An append that is not answered is sent again after four times the usual time

Change: a follower sends a batch again, with what has come since, once four times the usual time of an append has passed (40 ms to 1 s, doubling); the first call goes on. That is safe as before: only one batch is under way, and readers ignore records that they have applied. After the answer it waits for its records only.

--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -70,7 +70,14 @@
 	// not confirmed: a read that waits for records may not be told of the new one. The
 	// time doubles with each further read.
 	firstReread = 20 * time.Millisecond
-	maxBatch    = 256 // records
+	// minResend and maxResend limit the time after which an append that was not answered
+	// is sent again. In between, it is resendFactor times the usual time of an append.
+	minResend    = 40 * time.Millisecond
+	maxResend    = time.Second
+	resendFactor = 4
+	// appendTimeWeight is the weight of the newest append in the usual time.
+	appendTimeWeight = 0.2
+	maxBatch         = 256 // records
 	// snapshotRecords is the number of records after which a snapshot is written.
 	snapshotRecords = 2000
 	// idleSnapshotFactor is the number of snapshot intervals after which a snapshot
@@ -91,6 +98,7 @@
 	snapshotTime     time.Time    // time of the last snapshot that was attempted; initially the start time
 	snapshotInterval time.Duration
 	clock            kcrclock.Clock // monotonic, since the wall clock can jump
+	appendTime       atomic.Int64   // usual time of an append, in nanoseconds
 	endReachedAt     atomic.Int64   // time of the last read that reached the end of the stream; initially the start time
 	wake             chan struct{}  // receives a value when there may be records to append
 	cancel           context.CancelFunc
@@ -280,36 +288,74 @@
 	}
 }
 
-// appendAll appends batches until the state has no more records to append.
+// appendAll appends batches until the state has no more records to append. A batch that
+// is not confirmed is sent again, with the records that have come since; the delay before
+// that doubles each time.
 func (f *Follower) appendAll(ctx context.Context) {
+	delay := f.resendDelay()
 	for ctx.Err() == nil && f.machine.Batch != nil {
 		records, last := f.machine.Batch(maxBatch)
 		if len(records) == 0 {
 			return
 		}
-		f.appendBatch(ctx, records, last)
+		if f.appendBatch(ctx, records, last, delay) {
+			delay = f.resendDelay()
+		} else {
+			delay = min(2*delay, maxResend)
+		}
 	}
 }
 
-// appendBatch appends a batch and waits up to confirmTimeout until it is applied. last is
-// the sequence of its last record. After an error it waits as well, since the append may
-// have taken effect.
-func (f *Follower) appendBatch(ctx context.Context, records [][]byte, last uint64) {
-	reread := firstReread
-	if err := f.log.Append(ctx, f.stream, records); err != nil {
-		f.logger.Debug("log append failed", "stream", f.stream, "err", err)
-		Sleep(ctx, errorDelay)
-	}
-	for waited := time.Duration(0); waited < confirmTimeout && ctx.Err() == nil; waited += appendInterval {
+// resendDelay returns the time after which an append that was not answered is sent again.
+func (f *Follower) resendDelay() time.Duration {
+	return min(max(minResend, resendFactor*time.Duration(f.appendTime.Load())), maxResend)
+}
+
+// appendBatch appends a batch and waits until it is applied. It reports whether it was: it
+// gives up after confirmTimeout, after an error, or if there is no answer after delay. A
+// call that was not answered goes on, since it may still take effect. last is the sequence
+// of the last record.
+func (f *Follower) appendBatch(ctx context.Context, records [][]byte, last uint64, delay time.Duration) (confirmed bool) {
+	start, reread, answered := time.Now(), firstReread, f.startAppend(ctx, records)
+	for ctx.Err() == nil {
 		if _, newLast := f.machine.Batch(len(records)); newLast != last {
-			return
+			return true
 		}
-		if waited >= reread {
+		waited := time.Since(start)
+		switch {
+		case waited >= confirmTimeout, answered != nil && waited >= delay:
+			return false
+		case answered == nil && waited >= reread:
 			reread *= 2
 			f.readNow(ctx)
 		}
-		Sleep(ctx, appendInterval)
+		select {
+		case err := <-answered:
+			if err != nil {
+				f.logger.Debug("log append failed", "stream", f.stream, "err", err)
+				Sleep(ctx, errorDelay)
+				return false
+			}
+			answered, reread = nil, time.Since(start)+firstReread
+		case <-time.After(appendInterval):
+		}
 	}
+	return false
+}
+
+// startAppend starts a call that appends records. The channel receives its error.
+func (f *Follower) startAppend(ctx context.Context, records [][]byte) <-chan error {
+	answered := make(chan error, 1)
+	f.wg.Go(func() {
+		start := time.Now()
+		err := f.log.Append(ctx, f.stream, records)
+		if err == nil {
+			usual := time.Duration(f.appendTime.Load())
+			f.appendTime.Store(int64(usual) + int64(appendTimeWeight*float64(time.Since(start)-usual)))
+		}
+		answered <- err
+	})
+	return answered
 }
 
 // readNow reads the stream without waiting for records, and applies what it gets.
--- a/link/kcrdaemon/follower_test.go
+++ b/link/kcrdaemon/follower_test.go
@@ -16,15 +16,24 @@
 	"kingcuprun.example/kernel/kcrlog"
 )
 
-// deafLog is a log that does not tell reads that wait of new records.
+// deafLog is a log that does not tell reads that wait of new records. The first
+// unanswered appends take no effect and get no answer.
 type deafLog struct {
-	mu      sync.Mutex
-	records [][]byte
+	mu         sync.Mutex
+	records    [][]byte
+	unanswered int
 }
 
-func (l *deafLog) append(_ context.Context, _ kcrid.Stream, records [][]byte) error {
+func (l *deafLog) append(ctx context.Context, _ kcrid.Stream, records [][]byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.unanswered > 0 {
+		l.unanswered--
+		l.mu.Unlock()
+		<-ctx.Done()
+		l.mu.Lock()
+		return ctx.Err()
+	}
 	l.records = append(l.records, records...)
 	return nil
 }
@@ -76,17 +85,19 @@
 	return [][]byte{data}, 1
 }
 
-// TestFollowerReadsItsAppends checks that a follower applies its own records although the
-// read that waits for records is not told of them.
-func TestFollowerReadsItsAppends(t *testing.T) {
+// TestFollowerConfirms checks that a follower applies its own records although the read
+// that waits for records is not told of them, and although some appends are not answered.
+func TestFollowerConfirms(t *testing.T) {
 	t.Parallel()
-	l, w := &deafLog{}, &onceWriter{read: make(chan struct{})}
-	f := NewFollower(kcrlog.Log{Append: l.append, Read: l.read}, "s", StateMachine{Apply: w.apply, Offset: w.offset, Batch: w.batch},
-		slog.New(slog.NewTextHandler(io.Discard, nil)), time.Hour)
-	defer f.Close()
-	select {
-	case <-w.read:
-	case <-time.After(10 * time.Second):
-		t.Fatal("expected the record to be applied, got nothing in 10 s")
+	for _, unanswered := range []int{0, 3} {
+		l, w := &deafLog{unanswered: unanswered}, &onceWriter{read: make(chan struct{})}
+		f := NewFollower(kcrlog.Log{Append: l.append, Read: l.read}, "s", StateMachine{Apply: w.apply, Offset: w.offset, Batch: w.batch},
+			slog.New(slog.NewTextHandler(io.Discard, nil)), time.Hour)
+		select {
+		case <-w.read:
+		case <-time.After(10 * time.Second):
+			t.Errorf("%d appends not answered: expected the record to be applied, got nothing in 10 s", unanswered)
+		}
+		f.Close()
 	}
 }
