Homes hold less as a budget runs out, and their bounds grow after a second only

Change: a home holds at most 3% of what is left (and two seconds of demand); a claim covers all loans that wait; a bound allows 0.4 s of demand, and grows only a second after it was made (new field delay), so a process that is killed and back before that loses what it drew. Routers that find no home keep their holdings of seconds.

The escrow proof has a new mutant, a wallet that spends before its bound grows, found after 4 moves.

--- a/bench/kcrcommand/measure.go
+++ b/bench/kcrcommand/measure.go
@@ -21,6 +21,7 @@
 func tables() []table {
 	return []table{
 		{"budget", kcrmeasure.PrintBudgetTable},
+		{"stranded", kcrmeasure.PrintStrandedTable},
 		{"route", kcrmeasure.PrintRouteTable},
 		{"slope", kcrmeasure.PrintSlopeTable},
 		{"speed", kcrmeasure.PrintSpeedTable},
--- a/bench/kcrproof/escrow.go
+++ b/bench/kcrproof/escrow.go
@@ -56,6 +56,12 @@
 		{"the machine's clock stands still", func(r *EscrowRules) {
 			r.MonotonicClock = func(kcrclock.Time) kcrclock.Time { return 1 }
 		}},
+		{"a wallet spends before its bound grows", func(r *EscrowRules) {
+			r.Wallet.AllowedAfter = func(b kcrbudget.Bound, d kcrclock.Duration) kcrid.Tokens {
+				b.Delay = 0
+				return b.AllowedAfter(d)
+			}
+		}},
 	}
 }
 
@@ -66,7 +72,8 @@
 	escrowRequest = 45
 	escrowTarget  = 90 // free tokens that the home aims to hold
 	escrowRoom    = 10 // tokens that a spending bound allows at once
-	escrowRate    = 50 // tokens per second that a bound allows in addition
+	escrowRate    = 90 // tokens per second that a bound allows in addition after escrowDelay
+	escrowDelay   = 300 * kcrclock.Millisecond
 	// escrowWait is the duration of the move timePasses.
 	escrowWait = 400 * kcrclock.Millisecond
 	// uptimeAtStart is what the monotonic clock of a machine shows at the start, and
@@ -152,7 +159,9 @@
 	return kcrbudget.Policy{
 		Target:          func(kcrbudget.PlanView) kcrid.Tokens { return target },
 		ReturnForOthers: func(v kcrbudget.PlanView, unmet kcrid.Tokens) kcrid.Tokens { return max(0, min(unmet, v.Free)) },
-		Bound:           func(v kcrbudget.PlanView) (room, rate kcrid.Tokens) { return escrowRoom + v.WorstCase, escrowRate },
+		Bound: func(v kcrbudget.PlanView) kcrbudget.BoundTerms {
+			return kcrbudget.BoundTerms{Room: escrowRoom + v.WorstCase, Rate: escrowRate, Delay: escrowDelay}
+		},
 	}
 }
 
@@ -503,6 +512,7 @@
 	{homeLends, homeKilled, homeRound},
 	{timePasses, timePasses, homeLends, homeLosesPower, homeRound},
 	{timePasses, timePasses, homeLends, homeKilled, homeRound},
+	{timePasses, homeLends, homeKilled, homeRound},
 }
 
 // replayViolations applies the known schedules with the rules of a mutant, and returns
--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -33,34 +33,37 @@
 	return b.BootID == bound.BootID && difference <= maxBootedAtDifference && difference >= -maxBootedAtDifference
 }
 
-// Bound limits the tokens that a holder has drawn from its grant: at most Base
-// at time MadeAt on the machine's clock, and Rate more per second after it.
+// Bound limits the tokens that a holder has drawn from its grant: at most Base until
+// Delay after MadeAt on the machine's clock, and Rate more per second from then on.
 // BootID and BootedAt identify the boot of the machine, as in BootClock.
 type Bound struct {
-	Base     kcrid.Tokens  `json:"base"`
-	Rate     kcrid.Tokens  `json:"rate"`
-	MadeAt   kcrclock.Time `json:"boot"`
-	BootID   uint64        `json:"machine"`
-	BootedAt kcrclock.Time `json:"began"`
+	Base     kcrid.Tokens      `json:"base"`
+	Rate     kcrid.Tokens      `json:"rate"`
+	Delay    kcrclock.Duration `json:"delay,omitempty"`
+	MadeAt   kcrclock.Time     `json:"boot"`
+	BootID   uint64            `json:"machine"`
+	BootedAt kcrclock.Time     `json:"began"`
 }
 
 // boundFromEntry decodes a bound from its log entry.
 func boundFromEntry(m *kcrentry.Bound) Bound {
 	return Bound{
-		Base: kcrid.Tokens(m.GetBase()), Rate: kcrid.Tokens(m.GetRate()), MadeAt: kcrclock.Time(m.GetBoot()),
+		Base: kcrid.Tokens(m.GetBase()), Rate: kcrid.Tokens(m.GetRate()), Delay: kcrclock.Duration(m.GetDelay()), MadeAt: kcrclock.Time(m.GetBoot()),
 		BootID: m.GetMachine(), BootedAt: kcrclock.Time(m.GetBegan()),
 	}
 }
 
 // toEntry encodes a bound for the log.
 func (b Bound) toEntry() *kcrentry.Bound {
-	return &kcrentry.Bound{Base: int64(b.Base), Rate: int64(b.Rate), Boot: int64(b.MadeAt), Machine: b.BootID, Began: int64(b.BootedAt)}
+	return &kcrentry.Bound{
+		Base: int64(b.Base), Rate: int64(b.Rate), Delay: int64(b.Delay), Boot: int64(b.MadeAt), Machine: b.BootID, Began: int64(b.BootedAt),
+	}
 }
 
-// allowedAfter returns the tokens that may be drawn when d has passed since the
+// AllowedAfter returns the tokens that may be drawn when d has passed since the
 // bound was made.
-func (b Bound) allowedAfter(d kcrclock.Duration) kcrid.Tokens {
-	return b.Base + kcrid.Tokens(float64(b.Rate)*d.Seconds())
+func (b Bound) AllowedAfter(d kcrclock.Duration) kcrid.Tokens {
+	return b.Base + kcrid.Tokens(float64(b.Rate)*max(0, d-max(0, b.Delay)).Seconds())
 }
 
 // sentBound is a bound that a wallet has sent to the ledger and keeps to. seq is
@@ -83,22 +86,23 @@
 
 // allowance returns the tokens that may be drawn and reserved now: the minimum
 // of all bounds that may be in force.
-func (ps *walletPlanState) allowance(now kcrclock.Time) kcrid.Tokens {
+func (w *Wallet) allowance(now kcrclock.Time, ps *walletPlanState) kcrid.Tokens {
 	if len(ps.sentBounds) == 0 {
 		return 0
 	}
-	least := ps.sentBounds[0].bound.allowedAfter(now.Sub(ps.sentBounds[0].at))
+	least := w.rules.AllowedAfter(ps.sentBounds[0].bound, now.Sub(ps.sentBounds[0].at))
 	for _, sent := range ps.sentBounds[1:] {
-		least = min(least, sent.bound.allowedAfter(now.Sub(sent.at)))
+		least = min(least, w.rules.AllowedAfter(sent.bound, now.Sub(sent.at)))
 	}
 	return least
 }
 
-// newBound makes a bound that leaves room for a waiting request of size worstCase.
+// newBound makes a bound that leaves room for a waiting request of size worstCase, and for
+// all loans that wait.
 func (w *Wallet) newBound(now kcrclock.Time, p kcrid.Plan, ps *walletPlanState, worstCase kcrid.Tokens) Bound {
-	room, rate := w.policy.Bound(w.view(now, p, ps, worstCase))
+	terms := w.policy.Bound(w.view(now, p, ps, max(worstCase, ps.waiting)))
 	return Bound{
-		Base: ps.maxDrawn(0) + room, Rate: rate, MadeAt: w.bootClock.Now(), BootID: w.bootClock.BootID, BootedAt: w.bootClock.BootedAt,
+		Base: ps.maxDrawn(0) + terms.Room, Rate: terms.Rate, Delay: terms.Delay, MadeAt: w.bootClock.Now(), BootID: w.bootClock.BootID, BootedAt: w.bootClock.BootedAt,
 	}
 }
 
@@ -149,7 +153,7 @@
 			if g.Bound.MadeAt == 0 || !w.rules.SameBoot(w.bootClock, g.Bound) || since < 0 || since > maxInheritAge {
 				continue
 			}
-			used := max(0, min(g.Amount, g.Bound.allowedAfter(since)))
+			used := max(0, min(g.Amount, g.Bound.AllowedAfter(since)))
 			msg.Used = append(msg.Used, &kcrentry.Used{Plan: string(p), Tokens: int64(used)})
 		}
 		if len(msg.GetUsed()) > 0 {
--- a/kernel/kcrbudget/loan.go
+++ b/kernel/kcrbudget/loan.go
@@ -57,16 +57,24 @@
 	if !w.rules.Fits(free, need) {
 		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent}
 	}
-	if !w.rules.WithinBounds(ps.maxDrawn(need), ps.allowance(now)) {
+	if !w.rules.WithinBounds(ps.maxDrawn(need), w.allowance(now, ps)) {
 		w.raiseBound(now, p, ps, need)
 		return Loan{Outcome: Pending, Unspent: unspent}
 	}
-	lent := need + max(0, min(want-need, (free-need)/lendFreeDivisor, ps.allowance(now)-ps.maxDrawn(need)))
+	lent := need + max(0, min(want-need, (free-need)/lendFreeDivisor, w.allowance(now, ps)-ps.maxDrawn(need)))
 	ps.lent += lent
 	ps.expectedSpending += float64(lent)
 	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent}
 }
 
+// AddWaiting adds tokens that a loan waits for, so that the next claim covers all loans
+// that wait. The caller takes them back with a negative amount.
+func (w *Wallet) AddWaiting(p kcrid.Plan, tokens kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.planState(p).waiting += tokens
+}
+
 // AddBorrowed adds tokens that another holder has lent, or whose return to the lender
 // was not sent.
 func (w *Wallet) AddBorrowed(p kcrid.Plan, tokens kcrid.Tokens) {
@@ -90,7 +98,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ps := w.planState(p)
-	usable := min(w.free(p, ps), ps.allowance(now)+ps.borrowed-ps.spent-ps.lent-ps.reserved)
+	usable := min(w.free(p, ps), w.allowance(now, ps)+ps.borrowed-ps.spent-ps.lent-ps.reserved)
 	need = max(0, worstCase-usable)
 	return need, need + max(0, ps.nearDemand()-max(0, usable-worstCase))
 }
--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -29,10 +29,16 @@
 	// another holder fell short by unmet tokens.
 	ReturnForOthers func(v PlanView, unmet kcrid.Tokens) kcrid.Tokens
 	// Bound returns the limit that a wallet sets on its own spending until its
-	// next report: room tokens at once, and rate more per second. The tokens
-	// within the bound are lost when the wallet dies. A Home sets no bounds and
-	// needs no Bound.
-	Bound func(v PlanView) (room, rate kcrid.Tokens)
+	// next report. The tokens within the bound are lost when the wallet dies. A Home
+	// sets no bounds and needs no Bound.
+	Bound func(v PlanView) BoundTerms
+}
+
+// BoundTerms are the terms of a bound: Room tokens at once, and Rate more per second
+// after Delay. While the log takes reports, bounds are renewed before that.
+type BoundTerms struct {
+	Room, Rate kcrid.Tokens
+	Delay      kcrclock.Duration
 }
 
 // Limits of the demand policy.
@@ -71,28 +77,34 @@
 // OutageConfig sets the length of log outages that a holder bridges.
 type OutageConfig struct {
 	Horizon        kcrclock.Duration // duration of demand that is held
+	MaxShare       float64           // maximum fraction of the unspent tokens that is held
 	InitialShare   float64           // fraction of the unspent tokens held while the rate is unknown
 	BoundHorizon   kcrclock.Duration // duration of demand that a bound allows at once
+	BoundDelay     kcrclock.Duration // time after which a bound grows; a process that is killed is back before it
 	BoundGrowth    float64           // growth of a bound, as a multiple of the demand rate
 	MinBoundGrowth float64           // minimum growth of a bound per second, as a fraction of the prepaid tokens
 }
 
 // ShortOutageConfig returns a configuration for log outages of a few seconds and for
 // a power loss of all machines. Larger values lose more tokens in a power loss;
-// smaller values make callers wait.
+// smaller values make callers wait. What is held becomes less as a budget runs out, since
+// the end of the budget is missing what a power loss takes.
 func ShortOutageConfig() OutageConfig {
-	return OutageConfig{Horizon: 2 * kcrclock.Second, InitialShare: 0.05, BoundHorizon: 600 * kcrclock.Millisecond, BoundGrowth: 1.7, MinBoundGrowth: 0.004}
+	return OutageConfig{Horizon: 2 * kcrclock.Second, MaxShare: 0.03, InitialShare: 0.05, BoundHorizon: 400 * kcrclock.Millisecond, BoundDelay: kcrclock.Second, BoundGrowth: 2, MinBoundGrowth: 0.004}
 }
 
-// Limits of the outage policy.
-const (
-	// maxGrantedShare is the fraction of the unspent tokens that all holders
-	// together may hold: these tokens are lost if all holders die at once.
-	maxGrantedShare = 0.8
-	// keepHorizon is the duration of demand that a holder keeps when it returns
-	// escrow for another holder.
-	keepHorizon = kcrclock.Second / 2
-)
+// keepHorizon is the duration of demand that a holder keeps when it returns escrow for
+// another holder.
+const keepHorizon = kcrclock.Second / 2
+
+// NoHomeOutageConfig returns a configuration for routers that no home lends to. Each holds
+// the demand of some seconds, however little is left, since routers are cut off from the
+// log more often than homes are, and small budgets cover few requests.
+func NoHomeOutageConfig() OutageConfig {
+	o := ShortOutageConfig()
+	o.MaxShare = 0.8
+	return o
+}
 
 // OutagePolicy returns a policy for holders that lose their escrow when they die.
 func OutagePolicy(o OutageConfig) Policy {
@@ -102,18 +114,22 @@
 			if v.RateUnknown {
 				return kcrid.Tokens(o.InitialShare * unspent)
 			}
-			return kcrid.Tokens(min(v.SpendRate*o.Horizon.Seconds(), maxGrantedShare*unspent*max(v.DemandShare, minDemandShare)))
+			return kcrid.Tokens(min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*unspent*max(v.DemandShare, minDemandShare)))
 		},
 		ReturnForOthers: func(v PlanView, unmet kcrid.Tokens) kcrid.Tokens {
 			keep := kcrid.Tokens(v.SpendRate * keepHorizon.Seconds())
 			return max(0, min(unmet, v.Free-keep))
 		},
-		Bound: func(v PlanView) (room, rate kcrid.Tokens) {
+		Bound: func(v PlanView) BoundTerms {
 			if v.RateUnknown {
 				initial := kcrid.Tokens(o.InitialShare * float64(v.Prepaid))
-				return initial + v.WorstCase, initial
+				return BoundTerms{Room: initial + v.WorstCase, Rate: initial, Delay: o.BoundDelay}
+			}
+			return BoundTerms{
+				Room:  kcrid.Tokens(v.SpendRate*o.BoundHorizon.Seconds()) + v.WorstCase,
+				Rate:  kcrid.Tokens(o.BoundGrowth*v.SpendRate + o.MinBoundGrowth*float64(v.Prepaid)),
+				Delay: o.BoundDelay,
 			}
-			return kcrid.Tokens(v.SpendRate*o.BoundHorizon.Seconds()) + v.WorstCase, kcrid.Tokens(o.BoundGrowth*v.SpendRate + o.MinBoundGrowth*float64(v.Prepaid))
 		},
 	}
 }
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -53,6 +53,7 @@
 	lastReported      kcrid.Tokens            // drawn tokens in the newest report
 	maxReported       kcrid.Tokens            // maximum of lastReported over all reports
 	sentBounds        []sentBound             // bounds that may be in force, oldest first
+	waiting           kcrid.Tokens            // needed by the loans that wait for escrow
 	raiseSeq          uint64                  // sequence number of the report that raises the bound, 0 if none is in flight
 	claimSeq          uint64                  // sequence number of the claim in flight, 0 if none
 	unmetAt           kcrclock.Time           // when the result of the newest claim was read
@@ -79,9 +80,6 @@
 	rateUpdateInterval = 250 * kcrclock.Millisecond
 	// minRateObservation is how long demand is observed before its rate is used.
 	minRateObservation = kcrclock.Second
-	// claimRequests is how many requests of the waiting one's size a claim covers,
-	// so that the requests that queue behind it need no claim of their own.
-	claimRequests = 4
 	// unmetClaimRetry is the delay before a claim that was not met is repeated.
 	unmetClaimRetry = 150 * kcrclock.Millisecond
 	// holderTimeout is how long a holder may be silent before its grant no longer
@@ -114,6 +112,9 @@
 	Fits func(free, tokens kcrid.Tokens) bool
 	// WithinBounds reports whether the tokens that may be drawn keep to the bounds.
 	WithinBounds func(maxDrawn, bound kcrid.Tokens) bool
+	// AllowedAfter returns the tokens that may be drawn when a time has passed since a
+	// bound was made.
+	AllowedAfter func(Bound, kcrclock.Duration) kcrid.Tokens
 	// SameBoot reports whether a bound was made during this boot of the machine.
 	SameBoot func(b BootClock, bound Bound) bool
 }
@@ -123,6 +124,7 @@
 	return WalletRules{
 		Fits:         func(free, tokens kcrid.Tokens) bool { return free >= tokens },
 		WithinBounds: func(maxDrawn, bound kcrid.Tokens) bool { return maxDrawn <= bound },
+		AllowedAfter: Bound.AllowedAfter,
 		SameBoot:     BootClock.sameBoot,
 	}
 }
@@ -301,7 +303,7 @@
 	ps.updateRates(now, w.ledger.SpentByOthers(p, w.self))
 	fits := w.rules.Fits(w.free(p, ps), worstCase)
 	switch {
-	case fits && w.rules.WithinBounds(ps.maxDrawn(worstCase), ps.allowance(now)):
+	case fits && w.rules.WithinBounds(ps.maxDrawn(worstCase), w.allowance(now, ps)):
 		ps.reserved += worstCase
 		ps.expectedSpending += ps.ratio * float64(worstCase)
 		w.refill(now, p, ps, 0)
@@ -366,7 +368,7 @@
 		return
 	}
 	v := w.view(now, p, ps, worstCase)
-	target := max(w.policy.Target(v), claimRequests*worstCase)
+	target := max(w.policy.Target(v), worstCase, ps.waiting)
 	if worstCase == 0 && float64(v.Free) >= refillBelow*float64(target) {
 		return
 	}
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -190,6 +190,8 @@
 // that may still arrive from the ledger, it waits for it up to maxLendWait.
 func (h *Host) lendOrWait(home *bucketHome, plan kcrid.Plan, need, want kcrid.Tokens) kcrbudget.Loan {
 	start := h.config.Clock.Now()
+	home.wallet.AddWaiting(plan, need)
+	defer home.wallet.AddWaiting(plan, -need)
 	for {
 		changed := home.changed.Wait()
 		now := h.config.Clock.Now()
