Without homes a router asks one at a time, ever more rarely

Cause: each metered request called three homes anew, each home was skipped for 0.3 s only, and each router logged every other router's claims.

Change: after six failed calls in a row no home counts as answering; then one is asked in turn, after a quarter of the time that the failure has lasted (0.25 to 4 s); the pauses of single homes grow alike; an answer clears them. The order of homes for a bucket is kept until homes come or go (it was hashed and sorted for each loan). A wallet reports more rarely where many holders live. What another VM claimed or returned is in its own log; one line each tells that no home answers, and that homes answer again.

--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -74,6 +74,9 @@
 	// walletReportInterval is the time between reports of spending. What was spent
 	// since the last report stays unavailable when the holder dies.
 	walletReportInterval = 200 * kcrclock.Millisecond
+	// holdersPerReport is the number of live holders for which a report interval is
+	// walletReportInterval long. With more holders it is longer in proportion.
+	holdersPerReport = 8
 	// walletRateWindow is the time constant for smoothing the demand rate.
 	walletRateWindow = 2 * kcrclock.Second
 	// rateUpdateInterval is the minimum time between two updates of the rates.
@@ -478,7 +481,7 @@
 	if !w.ready || w.retired {
 		return
 	}
-	due := now.Sub(w.reportedAt) >= walletReportInterval && w.outbox.Len() == 0
+	due := now.Sub(w.reportedAt) >= w.reportInterval(now) && w.outbox.Len() == 0
 	for _, p := range sortedKeys(w.planStates) {
 		ps := w.planStates[p]
 		ps.updateRates(now, w.ledger.SpentByOthers(p, w.self))
@@ -500,6 +503,18 @@
 	}
 }
 
+// reportInterval returns the time between two reports: longer with many holders, each of
+// which reads the reports of all.
+func (w *Wallet) reportInterval(now kcrclock.Time) kcrclock.Duration {
+	live := 0
+	for _, at := range w.lastRecordAt {
+		if now.Sub(at) < holderTimeout {
+			live++
+		}
+	}
+	return walletReportInterval * kcrclock.Duration(max(1, live/holdersPerReport))
+}
+
 // Retire returns all escrow that is not reserved; the wallet makes no more
 // reservations. Tokens of reservations that end later are returned by the next
 // call of Retire.
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -145,7 +145,7 @@
 	home := &bucketHome{wallet: w, changed: kcrdaemon.NewSignal()}
 	home.follower = kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(bucket), kcrdaemon.StateMachine{
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
-			kcrbudget.LogEffect(c.Logger, w.Apply(c.Clock.Now(), off, e), off)
+			kcrbudget.LogEffect(c.Logger, self, w.Apply(c.Clock.Now(), off, e), off)
 			home.changed.Broadcast()
 		},
 		Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch,
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -136,7 +136,7 @@
 	b.newFollower = func() *kcrdaemon.Follower {
 		return kcrdaemon.NewFollower(c.Log, kcrid.BudgetStream(b.number), kcrdaemon.StateMachine{
 			Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
-				kcrbudget.LogEffect(n.logger, w.Apply(n.clock.Now(), off, e), off)
+				kcrbudget.LogEffect(n.logger, c.Self, w.Apply(n.clock.Now(), off, e), off)
 				n.escrowChanged.Broadcast()
 			},
 			Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, MarkReady: w.MarkReady,
--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 
@@ -13,36 +14,49 @@
 // of the bucket and lends it to routers. It runs in a process beside an upstream. Any
 // such process can run the home of any bucket, so the directory keeps one entry per
 // process. Invariants: all routers that see the same members rank the processes for a
-// bucket alike; each router skips those that recently failed to answer it.
+// bucket alike; each router skips those that recently failed to answer it; while none
+// answers, a router asks one at a time, and the more rarely the longer that lasts, so
+// that the loss of all homes costs no calls for each request.
 
 // homeDirectory tracks the processes that run homes, by address. The address is the
 // key because an engine that restarts gets another name, while the process beside it
 // keeps running. It is safe for concurrent use.
 type homeDirectory struct {
-	mu      sync.Mutex
-	updated bool // update was called at least once
-	homes   map[string]*homeStatus
+	mu           sync.Mutex
+	updated      bool // update was called at least once
+	homes        map[string]*homeStatus
+	rankings     map[kcrid.Bucket][]string // addresses by preference, until homes come or go
+	failures     int                       // calls that failed since the last answer
+	failingSince kcrclock.Time             // when failures reached maxFailures
+	probedAt     kcrclock.Time             // last call while no home answers
+	probes       int                       // calls while no home answers
 }
 
 // homeStatus is what this router knows about one process that runs homes.
 type homeStatus struct {
 	missing      bool          // no upstream with this home is in the membership
 	missingSince kcrclock.Time // set when missing became true
+	failedSince  kcrclock.Time // first failed call since the last answer, 0 if there is none
 	skipUntil    kcrclock.Time // the home is not asked before this time
-	backoff      kcrclock.Duration
 }
 
 // Timing and limits of the directory.
 const (
-	// refusedBackoff is how long a home is skipped after it refused a connection.
-	refusedBackoff = 300 * kcrclock.Millisecond
-	// minFailureBackoff is how long a home is skipped after the first call that
-	// failed in another way. It doubles with each further failure, up to
-	// maxFailureBackoff.
-	minFailureBackoff = kcrclock.Second
-	maxFailureBackoff = 8 * kcrclock.Second
-	// slowBackoff is how long a home is skipped whose answer is overdue.
-	slowBackoff = 250 * kcrclock.Millisecond
+	// minRefusedPause is how long a home is skipped after it refused a connection,
+	// minFailurePause after a call that failed in another way. The pauses grow to a part of
+	// the time for which a home has failed, one in pauseDivisor, up to maxPause.
+	minRefusedPause = 300 * kcrclock.Millisecond
+	minFailurePause = kcrclock.Second
+	maxPause        = 8 * kcrclock.Second
+	pauseDivisor    = 4
+	// slowPause is how long a home is skipped whose answer is overdue.
+	slowPause = 250 * kcrclock.Millisecond
+	// maxFailures is the number of failed calls in a row from which no home counts as
+	// answering. One is then asked after minProbePause, which grows like the other pauses
+	// up to maxProbePause.
+	maxFailures   = 6
+	minProbePause = 250 * kcrclock.Millisecond
+	maxProbePause = 4 * kcrclock.Second
 	// missingGrace is how long a home is kept whose upstream disappeared without
 	// announcing that it leaves: the upstream may have crashed while the home
 	// process still runs.
@@ -51,7 +65,9 @@
 	maxCandidates = 3
 )
 
-func newHomeDirectory() *homeDirectory { return &homeDirectory{homes: map[string]*homeStatus{}} }
+func newHomeDirectory() *homeDirectory {
+	return &homeDirectory{homes: map[string]*homeStatus{}, rankings: map[kcrid.Bucket][]string{}}
+}
 
 // update replaces the known homes: addrs are the homes of upstreams in service,
 // leavingAddrs those of upstreams that are draining.
@@ -59,6 +75,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.updated = true
+	count := len(d.homes)
+	added := false
 	for _, s := range d.homes {
 		if !s.missing {
 			s.missing, s.missingSince = true, now
@@ -67,6 +85,7 @@
 	for _, addr := range addrs {
 		if d.homes[addr] == nil {
 			d.homes[addr] = &homeStatus{}
+			added = true
 		}
 		d.homes[addr].missing = false
 	}
@@ -78,23 +97,55 @@
 			delete(d.homes, addr)
 		}
 	}
+	if added || len(d.homes) != count {
+		clear(d.rankings)
+	}
+}
+
+// ranking returns the addresses of the homes in the order of preference for a bucket, by
+// rendezvous hashing.
+func (d *homeDirectory) ranking(number kcrid.Bucket) []string {
+	if addrs, ok := d.rankings[number]; ok {
+		return addrs
+	}
+	stream := string(kcrid.BudgetStream(number))
+	weights := make(map[string]uint64, len(d.homes))
+	for addr := range d.homes {
+		weights[addr] = kcrid.RendezvousWeight(stream, addr)
+	}
+	addrs := slices.SortedFunc(maps.Keys(d.homes), func(x, y string) int { return cmp.Compare(weights[y], weights[x]) })
+	d.rankings[number] = addrs
+	return addrs
 }
 
 // candidates returns the addresses to call for a loan or a return of a bucket, in
-// order of preference. The order is by rendezvous hashing.
+// order of preference. While no home answers, it returns at most one, in turn.
 func (d *homeDirectory) candidates(now kcrclock.Time, number kcrid.Bucket) (addrs []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for addr, s := range d.homes {
-		if now >= s.skipUntil {
+	ranking := d.ranking(number)
+	if d.failures >= maxFailures && len(ranking) > 0 {
+		if now.Sub(d.probedAt) < growingPause(now, d.failingSince, minProbePause, maxProbePause) {
+			return nil
+		}
+		d.probedAt = now
+		d.probes++
+		return []string{ranking[d.probes%len(ranking)]}
+	}
+	for _, addr := range ranking {
+		if now >= d.homes[addr].skipUntil {
 			addrs = append(addrs, addr)
 		}
+		if len(addrs) == maxCandidates {
+			break
+		}
 	}
-	stream := string(kcrid.BudgetStream(number))
-	slices.SortFunc(addrs, func(x, y string) int {
-		return cmp.Compare(kcrid.RendezvousWeight(stream, y), kcrid.RendezvousWeight(stream, x))
-	})
-	return addrs[:min(len(addrs), maxCandidates)]
+	return addrs
+}
+
+// growingPause returns the pause after a failure that has lasted since a time.
+func growingPause(now, since kcrclock.Time, shortest, longest kcrclock.Duration) kcrclock.Duration {
+	return min(max(shortest, now.Sub(since)/pauseDivisor), longest)
 }
 
 // knownEmpty reports whether the membership is known and contains no home. Before
@@ -105,40 +156,48 @@
 	return d.updated && len(d.homes) == 0
 }
 
-// recordRefused records that a home refused the connection.
-func (d *homeDirectory) recordRefused(now kcrclock.Time, addr string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s := d.homes[addr]; s != nil {
-		s.skipUntil = now.Add(refusedBackoff)
-	}
-}
-
 // recordSlow records that the answer of a home is overdue.
 func (d *homeDirectory) recordSlow(now kcrclock.Time, addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.homes[addr]; s != nil {
-		s.skipUntil = max(s.skipUntil, now.Add(slowBackoff))
+		s.skipUntil = max(s.skipUntil, now.Add(slowPause))
 	}
 }
 
-// recordFailure records that a call to a home failed for another reason than a
-// refused connection, and doubles the backoff of the home.
-func (d *homeDirectory) recordFailure(now kcrclock.Time, addr string) {
+// recordFailure records that a call to a home failed; refused tells that it refused the
+// connection. It reports whether no home counts as answering from now on.
+func (d *homeDirectory) recordFailure(now kcrclock.Time, addr string, refused bool) (lost bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.failures++
+	if d.failures == maxFailures {
+		d.failingSince, d.probedAt = now, now
+	}
 	if s := d.homes[addr]; s != nil {
-		s.backoff = min(max(minFailureBackoff, 2*s.backoff), maxFailureBackoff)
-		s.skipUntil = now.Add(s.backoff)
+		if s.failedSince == 0 {
+			s.failedSince = now
+		}
+		shortest := minFailurePause
+		if refused {
+			shortest = minRefusedPause
+		}
+		s.skipUntil = now.Add(growingPause(now, s.failedSince, shortest, maxPause))
 	}
+	return d.failures == maxFailures
 }
 
-// recordAnswer records that a home answered, and resets its backoff.
-func (d *homeDirectory) recordAnswer(addr string) {
+// recordAnswer records that a home answered. It reports whether none counted as answering
+// before; then the others are asked again as well.
+func (d *homeDirectory) recordAnswer(addr string) (regained bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.homes[addr]; s != nil {
-		s.backoff, s.skipUntil = 0, 0
+	regained = d.failures >= maxFailures
+	d.failures = 0
+	for other, s := range d.homes {
+		if regained || other == addr {
+			s.failedSince, s.skipUntil = 0, 0
+		}
 	}
+	return regained
 }
--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -89,19 +89,19 @@
 // recordLoanFailure logs that a call for a loan failed, and makes the directory
 // skip the home for a time.
 func (n *Node) recordLoanFailure(addr string, plan kcrid.Plan, need kcrid.Tokens, err error) {
-	now := n.clock.Now()
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		n.homes.recordRefused(now, addr)
-	} else {
-		n.homes.recordFailure(now, addr)
-	}
+	lost := n.homes.recordFailure(n.clock.Now(), addr, errors.Is(err, syscall.ECONNREFUSED))
 	n.logger.Warn("call for a loan failed", "plan", string(plan), "home", addr, "need", int64(need), "err", err.Error())
+	if lost {
+		n.logger.Warn("no home answers: this router holds escrow of its own", "failures", maxFailures)
+	}
 }
 
 // receiveLoan adds a loan to the wallet and wakes the requests that wait for escrow.
 func (n *Node) receiveLoan(addr string, b *bucket, plan kcrid.Plan, loan kcrbudget.Loan, need, want, worstCase kcrid.Tokens) {
 	now := n.clock.Now()
-	n.homes.recordAnswer(addr)
+	if n.homes.recordAnswer(addr) {
+		n.logger.Info("homes answer again", "home", addr)
+	}
 	b.recordLoan(now, plan, worstCase, loan, 2*loan.Tokens < want)
 	if loan.Tokens > 0 {
 		b.wallet.AddBorrowed(plan, loan.Tokens)
