--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -80,6 +80,7 @@
 	parseRules        func([]byte) (*kcrrule.Rules, error)
 	configUnavailable atomic.Bool // the store does not provide the configuration
 	stopping          atomic.Bool
+	entriesChanged    atomic.Bool // entries were applied that updateUpstreams has not passed on
 	cancel            context.CancelFunc
 	wg                conc.WaitGroup
 }
@@ -224,30 +225,41 @@
 // it does, the node asks its peers for it.
 func (n *Node) SetConfigUnavailable(unavailable bool) { n.configUnavailable.Store(unavailable) }
 
-// ApplyEntry adds or updates the entry of an upstream.
+// ApplyEntry adds or updates the entry of an upstream. It takes effect with the next call
+// of EntriesApplied.
 func (n *Node) ApplyEntry(m kcrfleet.Member) {
 	if n.fleet.ApplyEntry(n.clock.Now(), m) {
 		n.logger.Info("upstream entry changed", "id", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone),
 			"draining", m.Draining, "born", m.Born, "seq", m.Sequence)
-		n.updateUpstreams()
+		n.entriesChanged.Store(true)
 	}
 }
 
-// RemoveEntry records that the entry of an upstream is gone from the store. Shortly after
-// an outage of the store, the upstream is kept for missingEntryGrace.
+// RemoveEntry records that the entry of an upstream is gone from the store. It takes
+// effect with the next call of EntriesApplied. Shortly after an outage of the store, the
+// upstream is kept for missingEntryGrace.
 func (n *Node) RemoveEntry(id kcrid.VM) {
 	gone := n.fleet.Remove(n.clock.Now(), id)
 	n.logger.Info("upstream entry removed", "id", string(id), "gone", gone)
-	n.updateUpstreams()
+	n.entriesChanged.Store(true)
 }
 
 // ApplyList records the complete list of entries in the store. Each other upstream is
-// treated like one passed to RemoveEntry.
+// treated like one passed to RemoveEntry. It takes effect with the next call of
+// EntriesApplied.
 func (n *Node) ApplyList(ids map[kcrid.VM]bool) {
 	if removed := n.fleet.ApplyList(n.clock.Now(), ids); len(removed) > 0 {
 		n.logger.Info("upstreams removed: not in the list of the store", "ids", removed)
 	}
-	n.updateUpstreams()
+	n.entriesChanged.Store(true)
+}
+
+// EntriesApplied tells that all entries of one response of the store were applied, and
+// puts them into effect together: the cost of that grows with the number of upstreams.
+func (n *Node) EntriesApplied() {
+	if n.entriesChanged.Swap(false) {
+		n.updateUpstreams()
+	}
 }
 
 // updateUpstreams passes the upstreams that may get requests to the placement table,
