Requests that wait for escrow do not spin while no home answers

Cause: each loan woke all requests that wait for escrow when it ended, whether anything had changed; where no home is asked or all refuse, a loan ends at once, so each request started the next loan in a loop without a pause.

Change: waiting requests are woken when tokens came, the budget is used up, or the ledger changed, and try again each 20 ms otherwise. Counter kcr_loans_total.

--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -43,6 +43,9 @@
 
 // Timing of loans.
 const (
+	// borrowInterval is how often a request that waits for escrow tries to borrow again
+	// while nothing changes.
+	borrowInterval = 20 * time.Millisecond
 	// homeAnswerTimeout is how long a home has to answer before the next is asked.
 	homeAnswerTimeout = 250 * time.Millisecond
 	// homeCallTimeout is how long the answer of a home still counts.
@@ -96,6 +99,7 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(borrowInterval):
 		case <-callerLeft:
 			return outcome
 		case <-timer.C:
--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -28,8 +28,8 @@
 	if !b.beginLoan(n.clock.Now(), plan) {
 		return
 	}
+	n.loans.Inc()
 	n.wg.Go(func() {
-		defer n.escrowChanged.Broadcast()
 		defer b.endLoan(plan)
 		now := n.clock.Now()
 		need, want := b.wallet.Shortfall(now, plan, worstCase)
@@ -47,13 +47,15 @@
 	})
 }
 
-// claim asks the ledger for the tokens that a request lacks.
+// claim asks the ledger for the tokens that a request lacks. Requests that wait are woken
+// when the ledger answers.
 func (n *Node) claim(b *bucket, plan kcrid.Plan, worstCase kcrid.Tokens) {
 	now := n.clock.Now()
 	outcome := b.wallet.Claim(now, plan, worstCase)
 	b.wakeFollower()
 	if outcome == kcrbudget.BudgetExhausted {
 		b.recordExhausted(now, plan, worstCase)
+		n.escrowChanged.Broadcast()
 	}
 }
 
@@ -109,7 +111,9 @@
 	b.wallet.SetUnspent(now, plan, loan.Unspent)
 	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
 		"need", int64(need), "wanted", int64(want), "left", int64(loan.Unspent), "code", loan.Outcome.String())
-	n.escrowChanged.Broadcast()
+	if loan.Tokens > 0 || loan.Outcome == kcrbudget.BudgetExhausted {
+		n.escrowChanged.Broadcast()
+	}
 }
 
 // callHome sends one request to a home and returns the loan in the reply. The home
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -75,6 +75,7 @@
 	peerFollower      *kcrdaemon.Follower
 	escrowChanged     *kcrdaemon.Signal // wakes requests that wait for escrow
 	homes             *homeDirectory
+	loans             prometheus.Counter // loans started
 	pool              *kcrlink.Pool
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
@@ -114,6 +115,7 @@
 		crashes:       kcrcrash.New(maxCrashes),
 		escrowChanged: kcrdaemon.NewSignal(),
 		homes:         newHomeDirectory(),
+		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
 		parseRules:    c.ParseRules,
@@ -363,6 +365,7 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
+	c.Metrics.MustRegister(n.loans)
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
