Routers read budget streams at intervals of 30 ms

Change: a router reads such a stream again after 30 ms, and reads its own appends again 20 ms after that at the earliest.

--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -160,10 +160,16 @@
 			continue
 		}
 		wait = readWait
-		if f.machine.ReadDelay != nil {
-			Sleep(ctx, f.machine.ReadDelay())
-		}
+		Sleep(ctx, f.readPause())
+	}
+}
+
+// readPause returns the time to wait between two reads.
+func (f *Follower) readPause() time.Duration {
+	if f.machine.ReadDelay == nil {
+		return 0
 	}
+	return f.machine.ReadDelay()
 }
 
 // nextOffset returns the offset of the next record to apply.
@@ -316,7 +322,8 @@
 // call that was not answered goes on, since it may still take effect. last is the sequence
 // of the last record.
 func (f *Follower) appendBatch(ctx context.Context, records [][]byte, last uint64, delay time.Duration) (confirmed bool) {
-	start, reread, answered := time.Now(), firstReread, f.startAppend(ctx, records)
+	readPause := f.readPause()
+	start, reread, answered := time.Now(), readPause+firstReread, f.startAppend(ctx, records)
 	for ctx.Err() == nil {
 		if _, newLast := f.machine.Batch(len(records)); newLast != last {
 			return true
@@ -336,7 +343,7 @@
 				Sleep(ctx, errorDelay)
 				return false
 			}
-			answered, reread = nil, time.Since(start)+firstReread
+			answered, reread = nil, time.Since(start)+readPause+firstReread
 		case <-time.After(appendInterval):
 		}
 	}
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -43,6 +43,9 @@
 
 // Timing of loans.
 const (
+	// budgetReadInterval is the time between two reads of a budget stream, on which many
+	// routers write while there are no homes.
+	budgetReadInterval = 30 * time.Millisecond
 	// borrowInterval is how often a request that waits for escrow tries to borrow again
 	// while nothing changes.
 	borrowInterval = 20 * time.Millisecond
@@ -145,6 +148,7 @@
 			},
 			Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, MarkReady: w.MarkReady,
 			IsSnapshotWriter: func() bool { return w.IsSnapshotWriter(n.clock.Now()) },
+			ReadDelay:        func() time.Duration { return budgetReadInterval },
 		}, c.Logger, c.SnapshotInterval.Std())
 	}
 	return b
