--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -43,9 +43,10 @@
 
 // Timing of loans.
 const (
-	// budgetReadInterval is the time between two reads of a budget stream, on which many
-	// routers write while there are no homes.
-	budgetReadInterval = 30 * time.Millisecond
+	// budgetReadPause is the time between two reads of a budget stream for each router
+	// that may write to it while there are no homes, up to maxBudgetReadPause.
+	budgetReadPause    = 1500 * time.Microsecond
+	maxBudgetReadPause = 50 * time.Millisecond
 	// borrowInterval is how often a request that waits for escrow tries to borrow again
 	// while nothing changes.
 	borrowInterval = 20 * time.Millisecond
@@ -148,12 +149,18 @@
 			},
 			Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, MarkReady: w.MarkReady,
 			IsSnapshotWriter: func() bool { return w.IsSnapshotWriter(n.clock.Now()) },
-			ReadDelay:        func() time.Duration { return budgetReadInterval },
+			ReadDelay:        n.budgetReadPause,
 		}, c.Logger, c.SnapshotInterval.Std())
 	}
 	return b
 }
 
+// budgetReadPause returns the time between two reads of a budget stream: the more routers
+// write to it, the longer.
+func (n *Node) budgetReadPause() time.Duration {
+	return min(budgetReadPause*time.Duration(n.escrowSharers()), maxBudgetReadPause)
+}
+
 // follow starts to follow the budget stream, unless it is followed already.
 func (b *bucket) follow() {
 	b.mu.Lock()
