Answers without end are given up by bytes and by progress

Cause: the users' pages say that bytes that are no answer may come without end until the caller closes.

Change: bounds on informational answers (8), trailers (64), bodies to other requests (256 KiB, dropped as they come), one event (64 KiB), one buffered body (2 MiB) and all of them together (8 MiB); a promised length is trusted up to 64 KiB only; an engine is judged by the time since its last event, and asked once.

--- a/link/kcrhttp/body.go
+++ b/link/kcrhttp/body.go
@@ -37,6 +37,9 @@
 // a chunk or a trailer field, in bytes.
 const maxLine = 4096
 
+// maxTrailers is the maximum number of trailer fields after a chunked body.
+const maxTrailers = 64
+
 // RequestBody returns the body of a request. It rejects a request that has both
 // Content-Length and Transfer-Encoding, or either of them twice.
 func RequestBody(r *bufio.Reader, h *Head) (b *Body, err error) {
@@ -213,7 +216,7 @@
 	if b.remaining, err = strconv.ParseInt(size, 16, 64); err != nil || b.remaining > 0 {
 		return err
 	}
-	for {
+	for range maxTrailers + 1 {
 		line, err := b.readLine()
 		if err != nil {
 			return err
@@ -223,6 +226,7 @@
 			return nil
 		}
 	}
+	return newProtocolError(statusBadRequest, "trailers: expected at most %d fields", maxTrailers)
 }
 
 // errorOrProtocolError returns err, or a ProtocolError with a text if err is nil.
@@ -246,15 +250,42 @@
 	return string(line[:len(line)-2]), nil
 }
 
+// maxPreallocated is the maximum size for which ReadAll trusts Content-Length, in bytes. A
+// peer may promise more than it ever sends.
+const maxPreallocated = 64 << 10
+
+// SizeHint returns a capacity for the body: its length if that is known and at most
+// maxPreallocated.
+func (b *Body) SizeHint() int {
+	if b.framing != framingLength {
+		return 0
+	}
+	return int(min(b.remaining+1, maxPreallocated))
+}
+
+// Discard reads a body of at most limit bytes to its end and drops it.
+func (b *Body) Discard(limit int) error {
+	var buf [512]byte
+	for read := 0; read <= limit; {
+		n, err := b.Read(buf[:])
+		read += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+	return newProtocolError(statusContentTooLarge, "body: expected at most %d bytes", limit)
+}
+
 // ReadAll reads a body of at most limit bytes to its end. After a read error it returns
 // the bytes read before it as well.
 func (b *Body) ReadAll(limit int) (data []byte, err error) {
 	if b.framing == framingLength && b.remaining > int64(limit) {
 		return nil, newProtocolError(statusContentTooLarge, "body: expected at most %d bytes, got %d", limit, b.remaining)
 	}
-	if b.framing == framingLength {
-		data = make([]byte, 0, b.remaining+1)
-	}
+	data = make([]byte, 0, b.SizeHint())
 	for {
 		if len(data) == cap(data) {
 			data = append(data, make([]byte, 512)...)[:len(data)]
--- a/link/kcrhttp/event.go
+++ b/link/kcrhttp/event.go
@@ -14,6 +14,16 @@
 	Data []byte // bytes of all its lines, with the empty line that ends it
 }
 
+// IsComment tells whether the event has no field, only comments.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(e.Data) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // EventSplitter splits a stream into events. Its zero value is ready to use. It is not
 // safe for concurrent use.
 type EventSplitter struct {
--- a/link/kcrhttp/head.go
+++ b/link/kcrhttp/head.go
@@ -228,10 +228,13 @@
 	maxStatus    = 599
 )
 
+// maxInformational is the maximum number of informational responses before a response.
+const maxInformational = 8
+
 // ReadResponse reads the head of a response of at most limit bytes. It skips
-// informational responses except 101 Switching Protocols.
+// informational responses except 101 Switching Protocols, at most maxInformational.
 func ReadResponse(r *bufio.Reader, limit int) (h *Head, err error) {
-	for {
+	for range maxInformational + 1 {
 		block, err := readBlock(r, limit)
 		if err != nil {
 			return nil, err
@@ -251,6 +254,7 @@
 			return h, nil
 		}
 	}
+	return nil, newProtocolError(statusBadRequest, "expected at most %d informational responses", maxInformational)
 }
 
 func (h *Head) parseStatusLine(line string) error {
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -41,6 +41,8 @@
 	// maxStrayResponses bounds the responses to other requests that are skipped
 	// on a connection.
 	maxStrayResponses = 3
+	// maxStrayBody bounds the body of such a response, in bytes.
+	maxStrayBody = 256 << 10
 	// maxResponseHeader bounds the header of a response, in bytes.
 	maxResponseHeader = 64 << 10
 	// maxInlineWrite is the largest request, in bytes, that is written without a
@@ -182,7 +184,7 @@
 		}
 		echoedID := head.Get(a.x.gateway.headerNames.RequestID)
 		if echoedID != "" && echoedID != a.x.id {
-			if _, err := body.ReadAll(maxBufferedResponse); err != nil || body.UntilClose() {
+			if body.Discard(maxStrayBody) != nil || body.UntilClose() {
 				return stateMayHaveRun, "an answer to another request"
 			}
 			continue
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -95,6 +95,7 @@
 	stopping       atomic.Bool
 	stopDeadline   atomic.Int64 // end of a planned stop as a kcrclock.Time
 	activeRequests atomic.Int64
+	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
 	goroutines     conc.WaitGroup
 	cancelSweep    context.CancelFunc // stops sweepLoop
 
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -1,6 +1,9 @@
 package kcrgateway
 
 import (
+	"errors"
+	"io"
+
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
@@ -11,8 +14,42 @@
 // when it is complete. Invariant: a request is sent to another upstream only if it
 // certainly did not run or its route allows a repetition.
 
-// maxBufferedResponse bounds the body of a buffered response, in bytes.
-const maxBufferedResponse = 8 << 20
+// Bounds of the bodies of buffered responses, in bytes: of one, and of all together.
+const (
+	maxBufferedResponse  = 2 << 20
+	maxBufferedResponses = 8 << 20
+	minBuffer            = 1 << 10 // first buffer for a body of unknown length
+)
+
+// errNoBuffer is the error of a response for which there is no memory.
+var errNoBuffer = errors.New("too many large responses at once")
+
+// readBuffered reads the body of a response to its end. The caller must call release when
+// it needs the body no more, also after an error.
+func (g *Gateway) readBuffered(body *kcrhttp.Body) (data []byte, release func(), err error) {
+	reserved := int64(0)
+	release = func() { g.bufferedBytes.Add(-reserved) }
+	grow := func(size int) bool {
+		grown := append(make([]byte, 0, size), data...)
+		added := int64(cap(grown) - cap(data))
+		data, reserved = grown, reserved+added
+		return g.bufferedBytes.Add(added) <= maxBufferedResponses && reserved <= maxBufferedResponse
+	}
+	ok := grow(max(body.SizeHint(), minBuffer))
+	for ok {
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, release, nil
+		case err != nil:
+			return nil, release, err
+		case len(data) == cap(data):
+			ok = grow(2 * cap(data))
+		}
+	}
+	return nil, release, errNoBuffer
+}
 
 // Wait for one upstream while another attempt is allowed.
 const (
@@ -109,7 +146,8 @@
 	}
 	x.mayHaveRun = true
 	a.choice.ResponseStarted(x.gateway.clock.Now())
-	body, err := a.body.ReadAll(maxBufferedResponse)
+	body, release, err := x.gateway.readBuffered(a.body)
+	defer release()
 	if err != nil {
 		reason = readErrorReason(err)
 		a.end(a.result(stateMayHaveRun, reason), reason)
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -36,6 +36,8 @@
 	// engine won't respond in time.
 	callerIdleFraction = 0.85
 	readBufSize        = 4096 // bytes
+	// maxEventBytes is the maximum size of an event.
+	maxEventBytes = 64 << 10
 )
 
 // streamForwarder forwards the events of one or more runs to the caller of an exchange.
@@ -43,6 +45,8 @@
 	x           *exchange
 	headSent    bool                  // the response head was written to the caller
 	lastEventID int64                 // of the last event that the caller has, -1 if it is unknown
+	progressAt  kcrclock.Time         // of the last event of the current run that was not a comment; initially its start
+	probed      bool                  // the engine was reachable after that
 	events      kcrhttp.EventSplitter // splits the current run into events
 	readBuf     [readBufSize]byte
 }
@@ -94,6 +98,7 @@
 		return s.forwardOtherResponse(a)
 	}
 	s.events.Reset()
+	s.recordProgress()
 	reason = s.forwardEvents(a)
 	if reason == "" {
 		a.end(kcrplacement.Served, "")
@@ -108,7 +113,8 @@
 // exchange's upstreamError if another upstream may still serve the request.
 func (s *streamForwarder) forwardOtherResponse(a *attempt) (reason string) {
 	x := s.x
-	body, err := a.body.ReadAll(maxBufferedResponse)
+	body, release, err := x.gateway.readBuffered(a.body)
+	defer release()
 	if err != nil {
 		reason = readErrorReason(err)
 		a.end(a.result(stateMayHaveRun, reason), reason)
@@ -126,18 +132,24 @@
 // canMove reports whether the stream may be resumed on another upstream.
 func (s *streamForwarder) canMove() bool { return s.x.route.Resumable && s.x.runs < s.x.route.MaxRuns }
 
-// probeDeadline returns when a silent engine is probed. limit is the route's latency
-// target or event gap target. The probe comes after the given fraction of the limit or,
-// if the stream can't be resumed elsewhere, after most of the caller's idle timeout.
-func (s *streamForwarder) probeDeadline(limit kcrclock.Duration, fraction float64) kcrclock.Time {
+// recordProgress records that the current run has made progress, or starts.
+func (s *streamForwarder) recordProgress() {
+	s.progressAt, s.probed = s.x.gateway.clock.Now(), false
+}
+
+// probeDeadline returns when an engine that is silent since a time is probed. limit is the
+// route's latency target or event gap target. The probe comes after the given fraction of
+// the limit or, if the stream can't be resumed elsewhere, after most of the caller's idle
+// timeout.
+func (s *streamForwarder) probeDeadline(since kcrclock.Time, limit kcrclock.Duration, fraction float64) kcrclock.Time {
 	x := s.x
 	callerIdleTimeout := x.gateway.headerNames.CallerIdleTimeout
 	switch {
 	case s.canMove() && limit > 0:
-		return min(x.deadline, x.gateway.clock.Now().Add(kcrclock.Duration(fraction*float64(limit))))
+		return min(x.deadline, since.Add(kcrclock.Duration(fraction*float64(limit))))
 	case !s.canMove() && callerIdleTimeout != nil:
 		maxWait := callerIdleFraction * float64(callerIdleTimeout(x.route.LatencyTarget, x.route.EventGapTarget))
-		return min(x.deadline, x.gateway.clock.Now().Add(kcrclock.Duration(maxWait)))
+		return min(x.deadline, since.Add(kcrclock.Duration(maxWait)))
 	default:
 		return x.deadline
 	}
@@ -155,7 +167,7 @@
 // awaitResponse reads the response head. An engine that sends none in time is
 // probed, and gets more time if it is reachable.
 func (s *streamForwarder) awaitResponse(a *attempt) (state attemptState, reason string) {
-	deadline := s.probeDeadline(s.x.route.LatencyTarget, firstEventFraction)
+	deadline := s.probeDeadline(s.x.gateway.clock.Now(), s.x.route.LatencyTarget, firstEventFraction)
 	if state, reason = a.readResponseHead(deadline); reason != reasonTimedOut || deadline >= s.x.deadline || unreachable(a.choice.Addr) {
 		return state, reason
 	}
@@ -164,11 +176,12 @@
 
 // shouldGiveUp reports whether a silent engine is given up, because it is
 // unreachable or was silent for too long. Otherwise it extends the read deadline.
-func (s *streamForwarder) shouldGiveUp(a *attempt, since kcrclock.Time, limit kcrclock.Duration) bool {
-	now, deadline := s.x.gateway.clock.Now(), s.giveUpDeadline(since, limit)
+func (s *streamForwarder) shouldGiveUp(a *attempt, limit kcrclock.Duration) bool {
+	now, deadline := s.x.gateway.clock.Now(), s.giveUpDeadline(s.progressAt, limit)
 	if s.x.callerLeft.Load() || now >= deadline || unreachable(a.choice.Addr) {
 		return true
 	}
+	s.probed = true
 	a.setReadDeadline(deadline)
 	return false
 }
@@ -186,6 +199,9 @@
 		if reason := s.writeEvents(a); reason != "" {
 			return reason
 		}
+		if s.events.Pending() > maxEventBytes {
+			return "an event without an end"
+		}
 		switch {
 		case errors.Is(err, io.EOF) && s.events.Pending() > 0:
 			return "the stream ended within an event"
@@ -197,21 +213,24 @@
 	}
 }
 
-// readBody reads the next bytes of the stream. An engine that is silent for too
-// long is probed, and gets more time if it is reachable.
+// readBody reads the next bytes of the stream. An engine that makes no progress for too
+// long is probed, and gets more time if it is reachable. Bytes that complete no event are
+// no progress.
 func (s *streamForwarder) readBody(a *attempt, receivedAny bool) (n int, err error) {
 	limit, fraction := s.x.route.EventGapTarget, eventGapFraction
 	if !receivedAny {
 		limit, fraction = s.x.route.LatencyTarget, firstEventFraction
 	}
-	since := s.x.gateway.clock.Now()
-	deadline := s.probeDeadline(limit, fraction)
+	deadline := s.probeDeadline(s.progressAt, limit, fraction)
+	if s.probed {
+		deadline = s.giveUpDeadline(s.progressAt, limit)
+	}
 	a.setReadDeadline(deadline)
 	n, err = a.body.Read(s.readBuf[:])
-	if n > 0 || err == nil || deadline >= s.x.deadline || readErrorReason(err) != reasonTimedOut {
+	if n > 0 || err == nil || s.probed || deadline >= s.x.deadline || readErrorReason(err) != reasonTimedOut {
 		return n, err
 	}
-	if s.shouldGiveUp(a, since, limit) || !a.body.ClearTimeout() {
+	if s.shouldGiveUp(a, limit) || !a.body.ClearTimeout() {
 		return 0, err
 	}
 	return a.body.Read(s.readBuf[:])
@@ -266,6 +285,9 @@
 		if event.ID >= 0 {
 			s.lastEventID = event.ID
 		}
+		if !event.IsComment() {
+			s.recordProgress()
+		}
 		s.x.deliveredEvents++
 		data = append(data, event.Data...)
 	}
