Above a size a few routers read the entries of upstreams and tell the others

Each upstream writes its entry anew each 1.2 s and each router read them all: about 625 KB a second a router, 87 MB a second in all, more than the store gives (readMbPerS); pages of the first list timed out after 0.6 s and were read from the start again by all at once; configurations and homes came late or never.

A router relies on that while a relay was heard within a second and a digest equalled its own within three; else it reads the entries itself. Decisions in kernel/kcrfleet.

--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -48,6 +48,7 @@
 	contacted   bool               // the store has responded at least once
 	storeLost   bool               // the store doesn't respond
 	graceEnd    kcrclock.Time      // until then, upstreams without an entry are kept
+	digest      uint64             // of all members; see Member.digest
 }
 
 // New returns an empty fleet. After an outage of the store, upstreams whose entry
@@ -86,6 +87,7 @@
 	}
 	for _, m := range members {
 		f.members[m.ID] = &memberState{member: m}
+		f.digest ^= m.digest()
 	}
 	return len(members) > 0
 }
@@ -117,6 +119,7 @@
 	s, ok := f.members[m.ID]
 	if !ok {
 		f.members[m.ID] = &memberState{member: m}
+		f.digest ^= m.digest()
 		return true
 	}
 	previous := s.member
@@ -126,8 +129,11 @@
 	changed = s.entryMissing
 	s.entryMissing = false
 	s.member = m
-	previous.Sequence, previous.Cold = m.Sequence, m.Cold
-	return changed || previous != m
+	if previous.relayed() == m.relayed() {
+		return changed
+	}
+	f.digest ^= previous.digest() ^ m.digest()
+	return true
 }
 
 // Remove records that an entry was deleted, and reports whether its upstream was
@@ -147,6 +153,26 @@
 	return true
 }
 
+// RemoveStarted removes an upstream as another process has done it, unless it is known to
+// have started again since. It reports whether it did.
+func (f *Fleet) RemoveStarted(id kcrid.VM, born int64) (removed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.members[id]
+	if !ok || s.member.Born > born {
+		return false
+	}
+	f.drop(id, s)
+	return true
+}
+
+// Len returns the number of upstreams.
+func (f *Fleet) Len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members)
+}
+
 // maxRemoved bounds the removed upstreams that are remembered; beyond it, all of
 // them are forgotten.
 const maxRemoved = 4096
@@ -158,6 +184,7 @@
 		clear(f.removed)
 	}
 	f.removed[id] = s.member.Born
+	f.digest ^= s.member.digest()
 	delete(f.members, id)
 }
 
@@ -199,11 +226,24 @@
 
 // Members returns all upstreams, sorted by ID.
 func (f *Fleet) Members() (members []Member) {
+	members, _ = f.listed()
+	return members
+}
+
+// listed returns all upstreams, sorted by ID, and their digest.
+func (f *Fleet) listed() (members []Member, digest uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.members {
 		members = append(members, s.member)
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
-	return members
+	return members, f.digest
+}
+
+// Digest returns a hash of all upstreams, without what each new entry changes.
+func (f *Fleet) Digest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.digest
 }
--- a/kernel/kcrid/id.go
+++ b/kernel/kcrid/id.go
@@ -89,6 +89,10 @@
 // kcrpeer.
 const PeerStream Stream = "routers"
 
+// FleetStream is the stream on which a few routers tell the others how the list of
+// upstreams has changed; see package kcrfleet.
+const FleetStream Stream = "fleet"
+
 // ConfigStream is the stream of the publications of the two configuration lists,
 // of the VMs that are leaving, and of contents suspected of crashing upstreams.
 const ConfigStream Stream = "config"
--- a/kernel/kcrpeer/registry.go
+++ b/kernel/kcrpeer/registry.go
@@ -23,6 +23,9 @@
 	// aliveTimeout is the time after its last Hello record from which a peer no
 	// longer counts as alive.
 	aliveTimeout = 6 * kcrclock.Second
+	// rankTimeout is the time after its last Hello record from which a peer is no longer
+	// ranked. It is longer than aliveTimeout, so that one late record moves no duties.
+	rankTimeout = 11 * kcrclock.Second
 	// addressTimeout is the time after its last Hello record from which a peer is
 	// no longer asked. It is longer than aliveTimeout, since no Hello record of any
 	// peer arrives during an outage of the log.
@@ -186,16 +189,20 @@
 }
 
 // OwnsItem tells whether this router is the one among those alive that is responsible
-// for an item. It is chosen by rendezvous hashing. Routers whose sets of live peers
-// differ may disagree.
-func (r *Registry) OwnsItem(now kcrclock.Time, item string) bool {
+// for an item; see Rank.
+func (r *Registry) OwnsItem(now kcrclock.Time, item string) bool { return r.Rank(now, item) == 0 }
+
+// Rank returns the place of this router, from 0, in the order of responsibility for an
+// item, by rendezvous hashing among the peers that have written a Hello record within
+// rankTimeout. Routers whose sets of such peers differ may disagree.
+func (r *Registry) Rank(now kcrclock.Time, item string) (rank int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ownWeight := kcrid.RendezvousWeight(item, string(r.self))
 	for name, p := range r.peers {
-		if p.lastHelloAt > 0 && now.Sub(p.lastHelloAt) < aliveTimeout && kcrid.RendezvousWeight(item, string(name)) > ownWeight {
-			return false
+		if p.lastHelloAt > 0 && now.Sub(p.lastHelloAt) < rankTimeout && kcrid.RendezvousWeight(item, string(name)) > ownWeight {
+			rank++
 		}
 	}
-	return true
+	return rank
 }
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,10 +60,14 @@
 	// DroppedLogLines returns how many lines the logger has dropped.
 	DroppedLogLines  func() int64
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
+	// MaxDirectReads is the number of routers times that of upstreams up to which all
+	// routers read all entries, 0 for the default of package kcrfleet.
+	MaxDirectReads int
 }
 
 // Node is a running router.
 type Node struct {
+	self              kcrid.Incarnation
 	clock             kcrclock.Clock
 	logger            *slog.Logger
 	rules             *kcrrule.ActiveRules
@@ -73,6 +78,7 @@
 	buckets           []*bucket
 	peers             *kcrpeer.Registry
 	peerFollower      *kcrdaemon.Follower
+	relay             *relay
 	escrowChanged     *kcrdaemon.Signal // wakes requests that wait for escrow
 	homes             *homeDirectory
 	loans             prometheus.Counter // loans started
@@ -81,6 +87,7 @@
 	parseRules        func([]byte) (*kcrrule.Rules, error)
 	configUnavailable atomic.Bool // the store does not provide the configuration
 	stopping          atomic.Bool
+	updating          sync.Mutex  // held while upstreams are passed on
 	entriesChanged    atomic.Bool // entries were applied that updateUpstreams has not passed on
 	cancel            context.CancelFunc
 	wg                conc.WaitGroup
@@ -107,6 +114,7 @@
 // New starts a node.
 func New(c Config) (n *Node, err error) {
 	n = &Node{
+		self:          c.Self,
 		clock:         c.Clock,
 		logger:        c.Logger,
 		rules:         kcrrule.NewActiveRules(kcrrule.Newer),
@@ -138,6 +146,7 @@
 		n.buckets = append(n.buckets, n.newBucket(c, i))
 	}
 	n.followPeers(c)
+	n.relay = newRelay(n, c)
 	n.registerMetrics(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -173,6 +182,7 @@
 		n.updateUpstreams()
 	}
 	n.peers.Tick(now)
+	n.relay.tick(now)
 	if n.peers.HasUnconfirmed() {
 		n.peerFollower.Wake()
 	}
@@ -218,7 +228,15 @@
 }
 
 // StoreResponded records that the store has answered a query for the entries of upstreams.
-func (n *Node) StoreResponded() { n.fleet.StoreResponded(n.clock.Now()) }
+func (n *Node) StoreResponded() {
+	now := n.clock.Now()
+	n.fleet.StoreResponded(now)
+	n.relay.recordStoreRead(now)
+}
+
+// ReadsEntries reports whether the entries of upstreams are to be read from the store.
+// While it returns false, other routers tell this one what has changed.
+func (n *Node) ReadsEntries() bool { return !n.relay.reliesOnRelays() }
 
 // StoreLost records that the store does not answer queries for the entries of upstreams.
 func (n *Node) StoreLost() { n.fleet.StoreLost() }
@@ -264,9 +282,21 @@
 	}
 }
 
+// UpstreamCount returns the number of upstreams that take new requests.
+func (n *Node) UpstreamCount() (count int) {
+	for _, m := range n.fleet.Members() {
+		if !m.Draining {
+			count++
+		}
+	}
+	return count
+}
+
 // updateUpstreams passes the upstreams that may get requests to the placement table,
 // and the addresses of the processes beside engines to the directory of homes.
 func (n *Node) updateUpstreams() {
+	n.updating.Lock()
+	defer n.updating.Unlock()
 	var upstreams []kcrplacement.Upstream
 	var homes, leaving []string
 	rules := n.rules.Rules()
@@ -329,6 +359,7 @@
 		b.unfollow()
 	}
 	n.peerFollower.Close()
+	n.relay.close()
 	if n.server != nil {
 		n.server.Close()
 	}
