A late copy of an answer proves nothing and reaches nobody

Looked for: the six failures that operators of similar systems have told of. Shown with real connections: 1. A second, late answer on a connection in use again. With its id it was skipped. Without one it was believed: a late refusal or 421 made the gateway say that the request had not run, or run it elsewhere, though it ran; a late 500 was passed on; and the text of our own 502 quoted up to 40 bytes of the other answer. Mended: on a connection that was used before, an answer without an id proves nothing; a protocol error quotes nothing. 2. Two homes of a bucket at once, one of them cut off from the log for a time, lend no more than is prepaid: held. 6.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -207,10 +207,14 @@
 }
 
 // classifyResponse determines what a response head shows about the run. A success
-// counts only with the upstream's signature and the request's ID.
+// counts only with the upstream's signature and the request's ID. On a connection that was
+// used before, a response without an ID may be a late copy of an earlier one, so it shows
+// nothing.
 func (a *attempt) classifyResponse(echoedID string) (state attemptState, reason string) {
 	names := &a.x.gateway.headerNames
 	switch {
+	case echoedID == "" && a.conn.reused:
+		return stateMayHaveRun, "an answer without an ID"
 	case a.head.Status == statusMisdirected:
 		return stateNotRun, "another upstream has the address"
 	case a.head.Has(names.NotRun):
@@ -290,10 +294,17 @@
 // gateway.
 const reasonTimedOut = "nothing came in time"
 
-// readErrorReason describes an error of reading a response.
+// reasonProtocol is the reason of an attempt whose response breaks the protocol. It quotes
+// nothing of the response, which may belong to another caller.
+const reasonProtocol = "the upstream broke the protocol"
+
+// readErrorReason describes an error of reading a response. Callers get the text.
 func readErrorReason(err error) string {
 	var timeout net.Error
+	var protocolErr *kcrhttp.ProtocolError
 	switch {
+	case errors.As(err, &protocolErr):
+		return reasonProtocol
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return reasonTimedOut
 	case errors.Is(err, kcrhttp.ErrClosedBeforeMessage), errors.Is(err, io.EOF):
--- a/router/kcrhome/home_test.go
+++ b/router/kcrhome/home_test.go
@@ -65,10 +65,16 @@
 // newHost starts a host with one bucket. The function that it returns sends the host a
 // request for a loan and returns the answer.
 func newHost(tb testing.TB, m *memoryLog) (*kcrhome.Host, func(*kcrwire.Lend) *kcrwire.Lent) {
+	tb.Helper()
+	return newHostOf(tb, m, "vm")
+}
+
+// newHostOf is newHost on a VM, with a log of its own.
+func newHostOf(tb testing.TB, m interface{ log() kcrlog.Log }, vm kcrid.VM) (*kcrhome.Host, func(*kcrwire.Lend) *kcrwire.Lent) {
 	tb.Helper()
 	clock := kcrclock.Monotonic()
 	h, err := kcrhome.New(kcrhome.Config{
-		Self: kcrid.IncarnationOf("vm", "run"), ListenAddr: "127.0.0.1:0", Log: m.log(), Clock: clock,
+		Self: kcrid.IncarnationOf(vm, "run"), ListenAddr: "127.0.0.1:0", Log: m.log(), Clock: clock,
 		BootClock: kcrbudget.BootClock{BootID: 1, Now: func() kcrclock.Time { return clock.Now() + 1 }},
 		Logger:    slog.New(slog.NewTextHandler(io.Discard, nil)), EscrowPolicy: kcrbudget.OutagePolicy(kcrbudget.ShortOutageConfig()), BucketCount: 1, SnapshotInterval: 60000,
 	})
@@ -198,3 +204,67 @@
 		lend(req)
 	}
 }
+
+// TestTwoHomesOfABucket checks that two hosts that act as the home of a bucket at once,
+// of which one neither reads nor writes the log for a time, lend no more than is prepaid
+// together, and that the tokens are lent in the end.
+func TestTwoHomesOfABucket(t *testing.T) {
+	t.Parallel()
+	const prepaid = 200000
+	m := &memoryLog{streams: map[kcrid.Stream][][]byte{}}
+	_, lendA := newHostOf(t, m, "vm-a")
+	paused := &pausableLog{memoryLog: m}
+	_, lendB := newHostOf(t, paused, "vm-b")
+	lent := int64(0)
+	for i := range 600 {
+		paused.setPaused(i > 100 && i < 300)
+		for _, lend := range []func(*kcrwire.Lend) *kcrwire.Lent{lendA, lendB} {
+			got := lend(&kcrwire.Lend{Plan: plan, Need: 700, Tokens: 1400, Version: 1, Prepaid: prepaid})
+			lent += got.GetTokens()
+		}
+		if lent > prepaid {
+			t.Fatalf("expected at most %d tokens, lent %d", prepaid, lent)
+		}
+	}
+	if lent < prepaid*9/10 {
+		t.Errorf("expected most of %d tokens to be lent, got %d", prepaid, lent)
+	}
+}
+
+// pausableLog is a memoryLog that a process can be cut off from.
+type pausableLog struct {
+	*memoryLog
+
+	pauseMu sync.Mutex
+	paused  bool
+}
+
+func (p *pausableLog) setPaused(paused bool) {
+	p.pauseMu.Lock()
+	defer p.pauseMu.Unlock()
+	p.paused = paused
+}
+
+func (p *pausableLog) isPaused() bool {
+	p.pauseMu.Lock()
+	defer p.pauseMu.Unlock()
+	return p.paused
+}
+
+func (p *pausableLog) log() kcrlog.Log {
+	inner := p.memoryLog.log()
+	return kcrlog.Log{
+		Append: func(ctx context.Context, s kcrid.Stream, records [][]byte) error {
+			if p.isPaused() {
+				return io.ErrClosedPipe
+			}
+			return inner.Append(ctx, s, records)
+		},
+		Read: func(ctx context.Context, s kcrid.Stream, from kcrid.Offset, wait kcrclock.Duration) (kcrlog.Page, error) {
+			if p.isPaused() {
+				return kcrlog.Page{}, io.ErrClosedPipe
+			}
+			return inner.Read(ctx, s, from, wait)
+		},
+	}
+}
