Demo: refusals that must happen fail the demo where they do not

A command behind ! never ends a script with set -e, so that four steps checked nothing: a plan that does not allow, an unknown model, an unknown key, and a publication that replaces an old version.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,6 +16,12 @@
 	"./build/$1" --settings "$settings" --vm "$2" >"$logs/$2.log" 2>&1 &
 	pid[$2]=$!
 }
+refused() { # refused COMMAND: run a command that must fail
+	if "$@"; then
+		echo "expected to fail: $*"
+		return 1
+	fi
+}
 stop_all() {
 	for p in "${pid[@]}"; do kill -KILL "$p" 2>/dev/null || true; done
 	wait 2>/dev/null || true
@@ -60,9 +66,9 @@
 grep -q '"count":1' "$logs/again"
 
 step "a plan that does not allow, an unknown model, an unknown key"
-! ./build/bench call --api-key utrecht-key --router "$r1" --path /services/meetup-app/book --text '{}' 2>/dev/null
-! call --router "$r1" --model no-such-model --text hi 2>/dev/null
-! ./build/bench call --api-key wrong --router "$r1" --model assistant-llm --text hi 2>/dev/null
+refused ./build/bench call --api-key utrecht-key --router "$r1" --path /services/meetup-app/book --text '{}' 2>/dev/null
+refused call --router "$r1" --model no-such-model --text hi 2>/dev/null
+refused ./build/bench call --api-key wrong --router "$r1" --model assistant-llm --text hi 2>/dev/null
 
 step "kill a router in mid-stream and send the same key to the other"
 call --router "$r1" --model assistant-llm --text "long want=500" --key long-1 --stream --quiet >"$logs/cut" 2>&1 &
@@ -85,7 +91,7 @@
 step "publish a top-up; a publication that replaces an old version is refused"
 sed 's/{"name": "2026-12", "tokens": 2000}/{"name": "2026-12", "tokens": 2000}, {"name": "extra", "tokens": 500}/' deploy/demo-plans.jsonc >"$logs/plans.jsonc"
 ./build/kingcuprun publish --settings "$settings" --plans "$logs/plans.jsonc" --uses deploy/demo-uses.jsonc
-! ./build/kingcuprun publish "${lists[@]}" --replaces 1
+refused ./build/kingcuprun publish "${lists[@]}" --replaces 1
 
 step "use up a budget"
 ok=0
