Refusals use up no run, and a caller that leaves behind pipelined bytes is noticed

Cause 1: an attempt counted as a run once its request was written, also where the upstream then stated that it had not run it; a route of two runs gave up after one refusal and one closed connection (TestRefusalsAreNoRuns fails without the change). Cause 2: the watch of a caller ended with the first byte of its next request; one that sent a part of it and left kept its run going until the end of the answer (TestCallerLeavesBehindPipelinedBytes failed before). Cause 3: a head that did not end in time counted as a lost connection, not as a stall. The outcome of an error of an upstream is its status, which bounds the label of the metric; latencies below 10 ms have buckets.

--- a/link/kcrhttp/head.go
+++ b/link/kcrhttp/head.go
@@ -116,7 +116,7 @@
 func headError(err error, begun bool) error {
 	switch {
 	case begun:
-		return fmt.Errorf("%w: %s", io.ErrUnexpectedEOF, err.Error())
+		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
 	case errors.Is(err, io.EOF):
 		return ErrClosedBeforeMessage
 	default:
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -283,7 +283,7 @@
 		return kcrplacement.Misdirected
 	case state == stateNotRun && a.head != nil:
 		return kcrplacement.Refused
-	case reason == reasonTimedOut:
+	case reason == reasonTimedOut || reason == reasonHeadTimedOut:
 		return kcrplacement.Stalled
 	default:
 		return kcrplacement.ConnectionLost
@@ -294,6 +294,10 @@
 // gateway.
 const reasonTimedOut = "nothing came in time"
 
+// reasonHeadTimedOut is the reason of an attempt of which a part of the response head came
+// before a deadline. Its connection can't be read further.
+const reasonHeadTimedOut = "the head of the answer did not end in time"
+
 // reasonProtocol is the reason of an attempt whose response breaks the protocol. It quotes
 // nothing of the response, which may belong to another caller.
 const reasonProtocol = "the upstream broke the protocol"
@@ -305,6 +309,8 @@
 	switch {
 	case errors.As(err, &protocolErr):
 		return reasonProtocol
+	case errors.As(err, &timeout) && timeout.Timeout() && errors.Is(err, io.ErrUnexpectedEOF):
+		return reasonHeadTimedOut
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return reasonTimedOut
 	case errors.Is(err, kcrhttp.ErrClosedBeforeMessage), errors.Is(err, io.EOF):
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -173,7 +173,7 @@
 	var mu sync.Mutex
 	go func() {
 		defer close(peekDone)
-		_, err := x.caller.br.Peek(1)
+		err := x.caller.peekUntilError()
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil && !stopped {
@@ -190,6 +190,17 @@
 	}
 }
 
+// peekUntilError reads from the connection until it fails, and keeps what it reads for the
+// next request. It returns nil once the buffer is full.
+func (c *callerConn) peekUntilError() error {
+	for c.br.Buffered() < callerBufSize {
+		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // abandon records that the caller has disconnected and aborts the current attempt
 // by closing its connection.
 func (x *exchange) abandon() {
--- a/router/kcrgateway/failures_test.go
+++ b/router/kcrgateway/failures_test.go
@@ -264,3 +264,46 @@
 	}()
 	return &upstream{id: id, listener: listener}
 }
+
+// TestCallerLeavesBehindPipelinedBytes checks that a caller that leaves is noticed although
+// it has sent a part of a further request.
+func TestCallerLeavesBehindPipelinedBytes(t *testing.T) {
+	t.Parallel()
+	left := make(chan struct{})
+	u := newUpstream(t, "u", func(_ int, req request, conn net.Conn) bool {
+		writeStream(conn, req.id(), 1, 1)
+		_, _ = io.Copy(io.Discard, conn) // until the gateway closes the connection
+		close(left)
+		return false
+	})
+	gw := newTestGateway(t, u)
+	conn := dial(t, gw)
+	_, rawRequest := newRequest("/stream/1", "", "body")
+	_, _ = io.WriteString(conn, rawRequest+"GET /ne")
+	waitFor(t, "the request at the upstream", func() bool { return u.requestCount.Load() == 1 })
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.Close()
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("expected the upstream's connection to be closed within half a second")
+	}
+}
+
+// TestRefusalsAreNoRuns checks that upstreams that state that they did not run a request
+// do not use up its runs: the route allows two. Some gateways ask first an upstream that
+// refuses, then one that closes the connection.
+func TestRefusalsAreNoRuns(t *testing.T) {
+	t.Parallel()
+	refuse := func(_ int, req request, conn net.Conn) bool {
+		return respond(conn, req.id(), "503 Busy", "X-Not-Run: 1\r\n", "")
+	}
+	closeConn := func(int, request, net.Conn) bool { return false }
+	a, b, c := newUpstream(t, "a", refuse), newUpstream(t, "b", closeConn), newUpstream(t, "c", respondOK)
+	for _, ups := range [][]*upstream{{a, b, c}, {a, c, b}, {b, a, c}, {b, c, a}, {c, a, b}, {c, b, a}} {
+		gw := newTestGateway(t, ups...)
+		if head, body, err := roundTrip(t, gw, "/safe/1", ""); err != nil || head.Status != 200 || body != "fine" {
+			t.Fatalf("expected the answer of the sound upstream, got %+v %q %v", head, body, err)
+		}
+	}
+}
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -17,7 +17,7 @@
 const routeKindLabel = "kind"
 
 // latencyBuckets covers the range of latency targets of routes, in seconds.
-var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5, 12}
+var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5, 12}
 
 // newMetrics registers the metrics of a gateway.
 func newMetrics(registry *prometheus.Registry) *metrics {
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strconv"
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrplacement"
@@ -129,6 +130,15 @@
 	return x.gateway.retryWindow(x.service).TryRetry(x.gateway.clock.Now(), x.gateway.config.RouterCount())
 }
 
+// recordFailedHead ends an attempt that brought no usable response head.
+func (x *exchange) recordFailedHead(a *attempt, state attemptState, reason string) {
+	if state == stateNotRun {
+		x.runs--
+	}
+	x.mayHaveRun = x.mayHaveRun || state == stateMayHaveRun
+	a.end(a.result(state, reason), reason)
+}
+
 // forwardPlainResponse reads one response and writes it to the caller. It returns
 // the reason why there is no response, or "".
 func (x *exchange) forwardPlainResponse(a *attempt) (reason string) {
@@ -140,8 +150,7 @@
 	}
 	state, reason := a.readResponseHead(deadline)
 	if state != stateOK {
-		x.mayHaveRun = x.mayHaveRun || state == stateMayHaveRun
-		a.end(a.result(state, reason), reason)
+		x.recordFailedHead(a, state, reason)
 		return reason
 	}
 	x.mayHaveRun = true
@@ -178,7 +187,7 @@
 	c.writeBuf = buf[:0]
 	x.outcome = outcomeServed
 	if head.Status >= 400 {
-		x.outcome = "upstream " + head.Reason
+		x.outcome = "upstream " + strconv.Itoa(head.Status)
 	}
 	if c.write(buf) != nil {
 		x.outcome, x.closeAfter = outcomeCallerLeft, true
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -161,7 +161,7 @@
 }
 
 // Outcomes of requests in logs and metrics. Further outcomes are the status codes of
-// the gateway's own responses and "upstream" with the reason phrase of its error.
+// the gateway's own responses and "upstream" with the status of its error.
 const (
 	outcomeServed     = "served"
 	outcomeCallerLeft = "left"       // the caller disconnected
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -89,8 +89,7 @@
 	x := s.x
 	state, reason := s.awaitResponse(a)
 	if state != stateOK {
-		x.mayHaveRun = x.mayHaveRun || state == stateMayHaveRun
-		a.end(a.result(state, reason), reason)
+		x.recordFailedHead(a, state, reason)
 		return reason
 	}
 	x.mayHaveRun = true
