Sessions accepted during Close are closed; warmups begin once

A session accepted while a server closed stayed open until its peer closed it. An upstream whose remaining warmup is stated again with the same value, as by a read of the same entry, no longer begins it anew.

--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -210,10 +210,10 @@
 		if state == nil || state.StartedAt != u.StartedAt || state.Addr != u.Addr {
 			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), cachedParts: map[uint64]struct{}{}}
 		}
-		state.Upstream = u
-		if u.WarmupRemaining > 0 {
+		if u.WarmupRemaining > 0 && u.WarmupRemaining != state.WarmupRemaining {
 			state.warmAt = now.Add(u.WarmupRemaining)
 		}
+		state.Upstream = u
 		s.byID[u.ID] = state
 		s.upstreams = append(s.upstreams, state)
 	}
--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -124,6 +124,7 @@
 	mu          sync.Mutex
 	sessions    map[*yamux.Session]bool // open sessions
 	activeCalls int                     // calls whose handler has not returned
+	closed      bool                    // Close was called
 }
 
 // Listen starts a server on an address of the form ip:port. The handler is called once
@@ -155,19 +156,28 @@
 			_ = conn.Close()
 			continue
 		}
-		s.setOpen(session, true)
+		if !s.addSession(session) {
+			_ = session.Close()
+			return
+		}
 		s.wg.Go(func() { s.serveSession(ctx, session) })
 	}
 }
 
-// setOpen adds a session to the open sessions or removes it.
-func (s *Server) setOpen(session *yamux.Session, open bool) {
+// addSession adds a session to the open sessions, and reports whether the server is open.
+func (s *Server) addSession(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open {
+	if !s.closed {
 		s.sessions[session] = true
-		return
 	}
+	return !s.closed
+}
+
+// removeSession removes a session from the open sessions.
+func (s *Server) removeSession(session *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.sessions, session)
 }
 
@@ -175,7 +185,7 @@
 func (s *Server) serveSession(ctx context.Context, session *yamux.Session) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer s.setOpen(session, false)
+	defer s.removeSession(session)
 	var calls conc.WaitGroup
 	defer calls.Wait()
 	defer func() { _ = session.Close() }()
@@ -261,6 +271,7 @@
 	s.cancel()
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.closed = true
 	for session := range s.sessions {
 		_ = session.Close()
 	}
