Planned stop: logs tell which requests were cut off, and how

"drained" now states how many connections were open when a stop ended and whether its deadline had passed; "request cut off" names each connection that was closed with a request in progress, with the ages of both. No decision changes.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -93,6 +93,7 @@
 	metrics        *metrics
 	listener       net.Listener
 	stopping       atomic.Bool
+	closed         atomic.Bool  // Close was called
 	stopDeadline   atomic.Int64 // end of a planned stop as a kcrclock.Time
 	activeRequests atomic.Int64
 	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
@@ -107,8 +108,9 @@
 // connState is what a planned stop needs to know of a caller's connection.
 type connState struct {
 	acceptedAt kcrclock.Time
-	used       bool // the first byte of a request has arrived
-	busy       bool // a request is in progress
+	busySince  kcrclock.Time // when the last request began
+	used       bool          // the first byte of a request has arrived
+	busy       bool          // a request is in progress
 }
 
 // sweepInterval is the interval at which expired upstream connections are closed.
@@ -182,8 +184,13 @@
 func (g *Gateway) setBusy(conn net.Conn, busy bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if state := g.conns[conn]; state != nil {
-		state.busy, state.used = busy, true
+	state := g.conns[conn]
+	if state == nil {
+		return
+	}
+	state.busy, state.used = busy, true
+	if busy {
+		state.busySince = g.clock.Now()
 	}
 }
 
@@ -242,6 +249,14 @@
 	g.waitIdle(listening)
 	_ = g.listener.Close()
 	g.waitIdle(ctx) // for connections accepted just before the listener closed
+	g.logger.Info("drained", "active", g.ActiveRequests(), "open", g.openConns(), "timeout", ctx.Err() != nil)
+}
+
+// openConns returns the number of open connections of callers.
+func (g *Gateway) openConns() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
 }
 
 // firstRequestTimeout is how long a planned stop waits for the first request on a new
@@ -258,9 +273,14 @@
 
 // Close closes the listener and all connections of callers.
 func (g *Gateway) Close() {
+	g.closed.Store(true)
 	_ = g.listener.Close() // a planned stop has closed it already
+	now := g.clock.Now()
 	g.mu.Lock()
-	for conn := range g.conns {
+	for conn, state := range g.conns {
+		if state.busy {
+			g.logger.Warn("request cut off", "caller", conn.RemoteAddr().String(), "accepted", int64(now.Sub(state.acceptedAt)), "began", int64(now.Sub(state.busySince)))
+		}
 		_ = conn.Close()
 	}
 	g.mu.Unlock()
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -190,6 +190,6 @@
 		x.outcome = "upstream " + strconv.Itoa(head.Status)
 	}
 	if c.write(buf) != nil {
-		x.outcome, x.closeAfter = outcomeCallerLeft, true
+		x.outcome, x.closeAfter = x.disconnectOutcome(), true
 	}
 }
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -52,7 +52,7 @@
 func (x *exchange) fail(reason string, retryAfter kcrclock.Duration) {
 	switch {
 	case x.callerLeft.Load():
-		x.outcome = outcomeCallerLeft
+		x.outcome = x.disconnectOutcome()
 		x.reason = reason
 		x.closeAfter = true
 	case x.upstreamError != nil:
@@ -166,8 +166,18 @@
 	outcomeServed     = "served"
 	outcomeCallerLeft = "left"       // the caller disconnected
 	outcomeBrokenOff  = "broken off" // a stream ended early
+	outcomeCutOff     = "cut off"    // the gateway was closed
 )
 
+// disconnectOutcome returns the outcome of a request whose connection ended before its
+// response.
+func (x *exchange) disconnectOutcome() string {
+	if x.gateway.closed.Load() {
+		return outcomeCutOff
+	}
+	return outcomeCallerLeft
+}
+
 // formatAttempts returns the attempts of a request as text for the log.
 func formatAttempts(records []attemptRecord) string {
 	var text strings.Builder
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -79,7 +79,7 @@
 	x.closeAfter = true
 	x.outcome, x.reason = outcomeBrokenOff, reason
 	if x.callerLeft.Load() {
-		x.outcome = outcomeCallerLeft
+		x.outcome = x.disconnectOutcome()
 	}
 }
 
@@ -314,6 +314,6 @@
 		buf = append(buf, kcrhttp.LastChunk...)
 	}
 	if len(buf) > 0 && c.write(buf) != nil {
-		x.outcome, x.closeAfter = outcomeCallerLeft, true
+		x.outcome, x.closeAfter = x.disconnectOutcome(), true
 	}
 }
