Tests that fail: requests that arrive as a planned stop ends are cut off

Requests that the upstream has received get no response, on kept connections (hypothesis 2: "drained" with open=12 active=0) and on new ones (hypothesis 1: connections younger than "drained").

--- /dev/null
+++ b/router/kcrgateway/stop_test.go
@@ -0,0 +1,105 @@
+package kcrgateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// These tests send requests at the moment at which a planned stop finds nothing in
+// progress.
+
+const stopCallers = 12
+
+// Guards against a request on an idle connection that is taken as a stop ends, and cut off.
+func TestStopAnswersRequestsOnIdleConnections(t *testing.T) {
+	t.Parallel()
+	for range 40 {
+		checkStop(t, 100*time.Microsecond, func(gw *testGateway) net.Conn {
+			conn := dial(t, gw)
+			_, warmup := newRequest("/once/0", "", "body")
+			_, _ = io.WriteString(conn, warmup)
+			if _, _, err := readResponse(bufio.NewReader(conn)); err != nil {
+				t.Errorf("expected a response before the stop, got %v", err)
+			}
+			return conn
+		}, func(conn net.Conn, _ *testGateway) net.Conn { return conn })
+	}
+}
+
+// Guards against a request on a connection that is accepted as a stop ends, and cut off.
+func TestStopAnswersRequestsOnNewConnections(t *testing.T) {
+	t.Parallel()
+	for range 300 {
+		checkStop(t, 5*time.Microsecond, func(*testGateway) net.Conn { return nil }, func(_ net.Conn, gw *testGateway) net.Conn {
+			conn, err := net.Dial("tcp", gw.gateway.Addr())
+			if err != nil {
+				return nil // the listener is closed
+			}
+			_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+			return conn
+		})
+	}
+}
+
+// spin waits for a time that is too short for a timer.
+func spin(d time.Duration) {
+	for start := time.Now(); time.Since(start) < d; {
+		runtime.Gosched()
+	}
+}
+
+// checkStop stops a gateway while callers send one request each, at an interval. Each
+// request that reaches the upstream must be answered. prepare runs before the stop, connect
+// when the caller sends its request.
+func checkStop(t *testing.T, interval time.Duration, prepare func(*testGateway) net.Conn, connect func(net.Conn, *testGateway) net.Conn) {
+	t.Helper()
+	u := newUpstream(t, "u", func(n int, req request, conn net.Conn) bool {
+		if req.head.Target != "/once/0" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		return respondOK(n, req, conn)
+	})
+	gw := newTestGateway(t, u)
+	var conns [stopCallers]net.Conn
+	for i := range conns {
+		conns[i] = prepare(gw)
+	}
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	var callers sync.WaitGroup
+	for i, prepared := range conns {
+		callers.Go(func() {
+			spin(time.Duration(i) * interval)
+			conn := connect(prepared, gw)
+			if conn == nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			id, rawRequest := newRequest("/once/1", "", "body")
+			_, _ = io.WriteString(conn, strings.Replace(rawRequest, "X-Deadline: 1500", "X-Deadline: 300", 1))
+			if _, _, err := readResponse(bufio.NewReader(conn)); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answered[id] = true
+			}
+		})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	gw.gateway.Stop(ctx, 0)
+	time.Sleep(2 * time.Millisecond) // a router returns its escrow
+	gw.gateway.Close()
+	callers.Wait()
+	for _, r := range u.receivedRequests() {
+		if r.head.Target != "/once/0" && !answered[r.id()] {
+			t.Errorf("%s: the upstream received the request, and the caller got no response", r.id())
+		}
+	}
+}
