A planned stop ends when no connection is open, not when none is busy

Fix: Stop waits until the accept loop has returned and no connection is open. Idle connections are told to close as before, but count until they are closed, so one that finds a request at the last moment is waited for. Nothing can begin a request after that. A connection accepted after Close is closed at once; it stayed open before.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -93,11 +93,12 @@
 	metrics        *metrics
 	listener       net.Listener
 	stopping       atomic.Bool
-	closed         atomic.Bool  // Close was called
+	closed         atomic.Bool  // Close was called; set while mu is held
 	stopDeadline   atomic.Int64 // end of a planned stop as a kcrclock.Time
 	activeRequests atomic.Int64
 	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
 	goroutines     conc.WaitGroup
+	acceptDone     chan struct{}      // closed when acceptLoop has returned
 	cancelSweep    context.CancelFunc // stops sweepLoop
 
 	mu           sync.Mutex
@@ -128,6 +129,7 @@
 		table:        c.Upstreams,
 		startedAt:    c.Clock.Now(),
 		pool:         newPool(),
+		acceptDone:   make(chan struct{}),
 		metrics:      newMetrics(c.Metrics),
 		conns:        map[net.Conn]*connState{},
 		retryWindows: map[kcrid.Service]*kcrroute.RetryWindow{},
@@ -151,6 +153,7 @@
 
 // acceptLoop serves each new connection in a goroutine until the listener closes.
 func (g *Gateway) acceptLoop() {
+	defer close(g.acceptDone)
 	for {
 		conn, err := g.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -161,22 +164,32 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		g.setTracked(conn, true)
+		if !g.addConn(conn) {
+			_ = conn.Close()
+			return
+		}
 		g.goroutines.Go(func() {
-			defer g.setTracked(conn, false)
+			defer g.removeConn(conn)
 			g.serveConn(conn)
 		})
 	}
 }
 
-// setTracked adds an open connection to conns or removes a closed one.
-func (g *Gateway) setTracked(conn net.Conn, open bool) {
+// addConn adds an accepted connection to conns, and reports whether the gateway is open.
+func (g *Gateway) addConn(conn net.Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if open {
-		g.conns[conn] = &connState{acceptedAt: g.clock.Now()}
-		return
+	if g.closed.Load() {
+		return false
 	}
+	g.conns[conn] = &connState{acceptedAt: g.clock.Now()}
+	return true
+}
+
+// removeConn removes a closed connection from conns.
+func (g *Gateway) removeConn(conn net.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	delete(g.conns, conn)
 }
 
@@ -234,8 +247,8 @@
 // drainDelay the gateway still serves requests that are certain to finish before
 // the context's deadline, answers others with a Retry-After, and closes each
 // connection after its response. A connection that was accepted a moment ago gets the
-// time to send its first request. Stop returns when no request is in progress or the
-// context ends.
+// time to send its first request. Stop returns when no connection is open, so that no
+// request can begin, or the context ends.
 func (g *Gateway) Stop(ctx context.Context, drainDelay time.Duration) {
 	kcrdaemon.Sleep(ctx, drainDelay)
 	listening := ctx
@@ -246,9 +259,13 @@
 		defer cancel()
 	}
 	g.stopping.Store(true)
-	g.waitIdle(listening)
+	g.closeConns(listening)
 	_ = g.listener.Close()
-	g.waitIdle(ctx) // for connections accepted just before the listener closed
+	select {
+	case <-g.acceptDone:
+	case <-ctx.Done():
+	}
+	g.closeConns(ctx) // those accepted just before the listener closed
 	g.logger.Info("drained", "active", g.ActiveRequests(), "open", g.openConns(), "timeout", ctx.Err() != nil)
 }
 
@@ -263,9 +280,8 @@
 // connection.
 const firstRequestTimeout = 500 * kcrclock.Millisecond
 
-// waitIdle closes idle connections until no request is in progress or the
-// context ends.
-func (g *Gateway) waitIdle(ctx context.Context) {
+// closeConns closes idle connections until no connection is open or the context ends.
+func (g *Gateway) closeConns(ctx context.Context) {
 	for ctx.Err() == nil && g.closeIdle() > 0 {
 		kcrdaemon.Sleep(ctx, drainPollInterval)
 	}
@@ -273,10 +289,10 @@
 
 // Close closes the listener and all connections of callers.
 func (g *Gateway) Close() {
-	g.closed.Store(true)
 	_ = g.listener.Close() // a planned stop has closed it already
 	now := g.clock.Now()
 	g.mu.Lock()
+	g.closed.Store(true)
 	for conn, state := range g.conns {
 		if state.busy {
 			g.logger.Warn("request cut off", "caller", conn.RemoteAddr().String(), "accepted", int64(now.Sub(state.acceptedAt)), "began", int64(now.Sub(state.busySince)))
@@ -287,24 +303,22 @@
 	g.cancelSweep()
 }
 
-// drainPollInterval is the interval at which a planned stop checks for requests
-// in progress.
+// drainPollInterval is the interval at which a planned stop checks for open connections.
 const drainPollInterval = 20 * time.Millisecond
 
 // closeIdle makes connections close that have no request in progress and whose first
-// request is not awaited, and returns the number of the others.
-func (g *Gateway) closeIdle() (busyCount int) {
+// request is not awaited. It returns the number of open connections, those among them,
+// because a request may arrive before they close.
+func (g *Gateway) closeIdle() (openCount int) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for conn, state := range g.conns {
-		if state.busy || !state.used && now.Sub(state.acceptedAt) < firstRequestTimeout {
-			busyCount++
-			continue
+		if !state.busy && (state.used || now.Sub(state.acceptedAt) >= firstRequestTimeout) {
+			_ = conn.SetReadDeadline(time.Unix(1, 0))
 		}
-		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	return busyCount
+	return len(g.conns)
 }
 
 // sameFieldName compares two header field names, ignoring case.
