A connection's state is read before it returns to the pool

Attempt.end read whether its connection had been reused after it was back in the pool, where another attempt sets that field: a data race that the tests of stops found (pool.take, attempt.end) in one of ten runs. Only the wording of a log line depended on it.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -244,6 +244,7 @@
 	x, g := a.x, a.x.gateway
 	x.setActiveConn(nil)
 	now := g.clock.Now()
+	lostReused := a.conn != nil && a.conn.reused && result == kcrplacement.ConnectionLost
 	if a.conn != nil {
 		if a.reusable() {
 			g.pool.put(now, a.conn, a.head)
@@ -259,7 +260,7 @@
 		g.pool.closeIdle(a.choice.ID, a.choice.Addr)
 	}
 	g.metrics.attempts.WithLabelValues(string(x.service), result.String()).Inc()
-	if a.conn != nil && a.conn.reused && result == kcrplacement.ConnectionLost {
+	if lostReused {
 		reason += ", on a kept connection"
 	}
 	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started)})
