Requests that outlast a planned stop are answered before their connection closes

Callers saw: when the time of a stop had passed, a request in progress ended with a closed connection and no answer, also where nothing of an answer had been written.

Stop now aborts these requests: their attempts end, none is repeated, and a caller that has received nothing gets 502 where the request may have run, 503 where it can't have. A stream of which events were delivered still ends without the end of a whole one. "request cut off" names the request.

TestStopAnswersRequestsThatOutlastIt fails on all four kinds of route without the change (connection closed before a message), and passes with it.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -54,6 +54,17 @@
 // disconnected.
 const reasonCallerLeft = "the caller left"
 
+// reasonStopped is the reason of an attempt that a planned stop ended.
+const reasonStopped = "the router stopped"
+
+// interruptReason returns the reason of an attempt that was interrupted.
+func (x *exchange) interruptReason() string {
+	if x.callerLeft.Load() {
+		return reasonCallerLeft
+	}
+	return reasonStopped
+}
+
 // attemptState is the state of an attempt after one of its steps.
 type attemptState int
 
@@ -88,8 +99,8 @@
 // after lastEventID, or from the caller's position if it is negative. The attempt
 // is nil if the caller has disconnected or no upstream is left.
 func (x *exchange) startAttempt(lastEventID int64) (a *attempt, state attemptState, reason string) {
-	if x.callerLeft.Load() {
-		return nil, stateMayHaveRun, reasonCallerLeft
+	if x.interrupted() {
+		return nil, stateMayHaveRun, x.interruptReason()
 	}
 	choice := x.gateway.table.Choose(x.gateway.clock.Now(), x.placementRequest())
 	if choice == nil {
@@ -101,8 +112,9 @@
 		return a, stateNotRun, reason
 	}
 	if !x.setActiveConn(a.conn) {
-		a.end(kcrplacement.CallerLeft, reasonCallerLeft)
-		return a, stateNotRun, reasonCallerLeft
+		reason = x.interruptReason()
+		a.end(kcrplacement.CallerLeft, reason)
+		return a, stateNotRun, reason
 	}
 	if state, reason = a.writeRequest(x.buildRequest(choice, lastEventID)); state != stateOK {
 		a.end(kcrplacement.ConnectionLost, reason)
@@ -252,7 +264,7 @@
 			_ = a.conn.Close()
 		}
 	}
-	if x.callerLeft.Load() && result != kcrplacement.Served {
+	if x.interrupted() && result != kcrplacement.Served {
 		result = kcrplacement.CallerLeft
 	}
 	a.choice.Finish(now, result)
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -71,6 +71,7 @@
 		return false
 	}
 	x := &exchange{gateway: g, caller: c, head: head, started: g.clock.Now(), cancelled: make(chan struct{})}
+	g.setExchange(c.conn, x)
 	x.closeAfter = !head.KeepAlive()
 	if sameFieldName(head.Get("Expect"), "100-continue") {
 		_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -159,8 +160,10 @@
 	outcome           string            // an outcome constant, a status code or an upstream's error
 	reason            string            // of an outcome other than success
 
-	callerLeft atomic.Bool   // the caller has disconnected
-	cancelled  chan struct{} // closed by abandon
+	callerLeft  atomic.Bool   // the caller has disconnected
+	aborted     atomic.Bool   // the time of a planned stop has passed
+	cancelled   chan struct{} // closed by abandon and abort
+	closeCancel sync.Once
 	mu         sync.Mutex
 	activeConn *upstreamConn // carries the current attempt, nil between attempts
 }
@@ -201,11 +204,25 @@
 	return nil
 }
 
-// abandon records that the caller has disconnected and aborts the current attempt
-// by closing its connection.
+// abandon records that the caller has disconnected and ends the current attempt.
 func (x *exchange) abandon() {
 	x.callerLeft.Store(true)
-	close(x.cancelled)
+	x.endAttempt()
+}
+
+// abort ends the current attempt, so that the caller gets a response before a planned stop
+// is over.
+func (x *exchange) abort() {
+	x.aborted.Store(true)
+	x.endAttempt()
+}
+
+// interrupted reports whether the exchange was abandoned or aborted.
+func (x *exchange) interrupted() bool { return x.callerLeft.Load() || x.aborted.Load() }
+
+// endAttempt ends the current attempt by closing its connection, and the wait for escrow.
+func (x *exchange) endAttempt() {
+	x.closeCancel.Do(func() { close(x.cancelled) })
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.activeConn != nil {
@@ -213,13 +230,13 @@
 	}
 }
 
-// setActiveConn sets the connection that abandon closes. It reports whether the
-// caller is still connected.
+// setActiveConn sets the connection that endAttempt closes. It reports whether the
+// exchange goes on.
 func (x *exchange) setActiveConn(c *upstreamConn) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.activeConn = c
-	return !x.callerLeft.Load()
+	return !x.interrupted()
 }
 
 // remaining returns the time until the deadline of the request.
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -110,6 +110,7 @@
 type connState struct {
 	acceptedAt kcrclock.Time
 	busySince  kcrclock.Time // when the last request began
+	exchange   *exchange     // in progress, nil before the request was read and after its response
 	used       bool          // the first byte of a request has arrived
 	busy       bool          // a request is in progress
 }
@@ -201,12 +202,21 @@
 	if state == nil {
 		return
 	}
-	state.busy, state.used = busy, true
+	state.busy, state.used, state.exchange = busy, true, nil
 	if busy {
 		state.busySince = g.clock.Now()
 	}
 }
 
+// setExchange records the exchange that is in progress on a connection.
+func (g *Gateway) setExchange(conn net.Conn, x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if state := g.conns[conn]; state != nil {
+		state.exchange = x
+	}
+}
+
 // sweepLoop closes expired upstream connections until the context ends.
 func (g *Gateway) sweepLoop(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -248,7 +258,8 @@
 // the context's deadline, answers others with a Retry-After, and closes each
 // connection after its response. A connection that was accepted a moment ago gets the
 // time to send its first request. Stop returns when no connection is open, so that no
-// request can begin, or the context ends.
+// request can begin, or a moment after the context ends. Requests that are in progress then
+// are aborted: those of which the caller has received nothing get an error response.
 func (g *Gateway) Stop(ctx context.Context, drainDelay time.Duration) {
 	kcrdaemon.Sleep(ctx, drainDelay)
 	listening := ctx
@@ -266,7 +277,11 @@
 	case <-ctx.Done():
 	}
 	g.closeConns(ctx) // those accepted just before the listener closed
-	g.logger.Info("drained", "active", g.ActiveRequests(), "open", g.openConns(), "timeout", ctx.Err() != nil)
+	timedOut := ctx.Err() != nil
+	if timedOut {
+		g.abortExchanges()
+	}
+	g.logger.Info("drained", "active", g.ActiveRequests(), "open", g.openConns(), "timeout", timedOut)
 }
 
 // openConns returns the number of open connections of callers.
@@ -280,6 +295,25 @@
 // connection.
 const firstRequestTimeout = 500 * kcrclock.Millisecond
 
+// abortTimeout is how long a planned stop whose context has ended waits until the requests
+// that it has aborted are answered.
+const abortTimeout = 150 * time.Millisecond
+
+// abortExchanges aborts the requests in progress and waits until their connections are
+// closed, up to abortTimeout.
+func (g *Gateway) abortExchanges() {
+	g.mu.Lock()
+	for _, state := range g.conns {
+		if state.exchange != nil {
+			state.exchange.abort()
+		}
+	}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	g.closeConns(ctx)
+}
+
 // closeConns closes idle connections until no connection is open or the context ends.
 func (g *Gateway) closeConns(ctx context.Context) {
 	for ctx.Err() == nil && g.closeIdle() > 0 {
@@ -295,7 +329,11 @@
 	g.closed.Store(true)
 	for conn, state := range g.conns {
 		if state.busy {
-			g.logger.Warn("request cut off", "caller", conn.RemoteAddr().String(), "accepted", int64(now.Sub(state.acceptedAt)), "began", int64(now.Sub(state.busySince)))
+			id := ""
+			if state.exchange != nil {
+				id = state.exchange.head.Get(g.headerNames.RequestID)
+			}
+			g.logger.Warn("request cut off", "req", id, "caller", conn.RemoteAddr().String(), "accepted", int64(now.Sub(state.acceptedAt)), "began", int64(now.Sub(state.busySince)))
 		}
 		_ = conn.Close()
 	}
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -116,7 +116,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream.
 func (x *exchange) mayRetry() bool {
-	return !x.callerLeft.Load() && x.remaining() > 0 && (!x.mayHaveRun || x.route.Rerunnable() && x.runs < x.route.MaxRuns)
+	return !x.interrupted() && x.remaining() > 0 && (!x.mayHaveRun || x.route.Rerunnable() && x.runs < x.route.MaxRuns)
 }
 
 // takeRetry counts another attempt against the retry budget of the service, and reports
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -50,6 +50,9 @@
 // response if there is one. Otherwise it responds 503 if no upstream can have run
 // the request, 504 after the deadline, and 502 if a run is possible.
 func (x *exchange) fail(reason string, retryAfter kcrclock.Duration) {
+	if x.interrupted() {
+		reason = x.interruptReason()
+	}
 	switch {
 	case x.callerLeft.Load():
 		x.outcome = x.disconnectOutcome()
@@ -166,7 +169,7 @@
 	outcomeServed     = "served"
 	outcomeCallerLeft = "left"       // the caller disconnected
 	outcomeBrokenOff  = "broken off" // a stream ended early
-	outcomeCutOff     = "cut off"    // the gateway was closed
+	outcomeCutOff     = "cut off"    // a planned stop had to end
 )
 
 // disconnectOutcome returns the outcome of a request whose connection ended before its
--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -110,3 +110,29 @@
 		}
 	}
 }
+
+// Guards against requests without any answer that still run when a stop has to end.
+func TestStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/once/1", "/safe/1", "/stream/1", "/resume/1"} {
+		u := newUpstream(t, "u", func(int, request, net.Conn) bool {
+			time.Sleep(time.Second)
+			return false
+		})
+		gw := newTestGateway(t, u)
+		conn := dial(t, gw)
+		_, rawRequest := newRequest(path, "", "body")
+		_, _ = io.WriteString(conn, rawRequest)
+		waitFor(t, "the request at the upstream", func() bool { return u.requestCount.Load() == 1 })
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		gw.gateway.Stop(ctx, 0)
+		gw.gateway.Close()
+		if head, _, err := readResponse(bufio.NewReader(conn)); err != nil || head.Status != 502 {
+			t.Errorf("%s: expected 502, since the request may have run, got %+v %v", path, head, err)
+		}
+		if n := u.requestCount.Load(); n != 1 {
+			t.Errorf("%s: expected no further run, got %d", path, n)
+		}
+	}
+}
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -78,8 +78,11 @@
 	}
 	x.closeAfter = true
 	x.outcome, x.reason = outcomeBrokenOff, reason
-	if x.callerLeft.Load() {
+	switch {
+	case x.callerLeft.Load():
 		x.outcome = x.disconnectOutcome()
+	case x.aborted.Load():
+		x.outcome, x.reason = outcomeCutOff, reasonStopped
 	}
 }
 
@@ -177,7 +180,7 @@
 // unreachable or was silent for too long. Otherwise it extends the read deadline.
 func (s *streamForwarder) shouldGiveUp(a *attempt, limit kcrclock.Duration) bool {
 	now, deadline := s.x.gateway.clock.Now(), s.giveUpDeadline(s.progressAt, limit)
-	if s.x.callerLeft.Load() || now >= deadline || unreachable(a.choice.Addr) {
+	if s.x.interrupted() || now >= deadline || unreachable(a.choice.Addr) {
 		return true
 	}
 	s.probed = true
