A planned stop takes no stream late that may outlast it

Cause: its end was only estimated, with 10 ms a token, which an overloaded engine does not keep.

The estimate is now used for 3 s after the stop has begun. After that a request is taken only if its deadline comes before the end of the stop, and gets 503 with a Retry-After otherwise: other routers have the time to serve it.

TestStopTakesNoStreamThatMayOutlastIt: 200 at the begin of a stop, 503 after 3.1 s; without the change the second was taken as well.

--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -164,8 +164,8 @@
 	aborted     atomic.Bool   // the time of a planned stop has passed
 	cancelled   chan struct{} // closed by abandon and abort
 	closeCancel sync.Once
-	mu         sync.Mutex
-	activeConn *upstreamConn // carries the current attempt, nil between attempts
+	mu          sync.Mutex
+	activeConn  *upstreamConn // carries the current attempt, nil between attempts
 }
 
 // watchCaller abandons the exchange if the caller disconnects before stopWatching
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -95,6 +95,7 @@
 	stopping       atomic.Bool
 	closed         atomic.Bool  // Close was called; set while mu is held
 	stopDeadline   atomic.Int64 // end of a planned stop as a kcrclock.Time
+	stopBegan      atomic.Int64 // its begin
 	activeRequests atomic.Int64
 	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
 	goroutines     conc.WaitGroup
@@ -254,13 +255,14 @@
 // Stop drains the gateway without interrupting a request. During drainDelay it
 // accepts requests as before, because the load balancer keeps sending them. The
 // balancer does so even longer when all routers of a zone stop at once, so after
-// drainDelay the gateway still serves requests that are certain to finish before
-// the context's deadline, answers others with a Retry-After, and closes each
+// drainDelay the gateway still serves requests that will finish before the context's
+// deadline, answers others with a Retry-After, and closes each
 // connection after its response. A connection that was accepted a moment ago gets the
 // time to send its first request. Stop returns when no connection is open, so that no
 // request can begin, or a moment after the context ends. Requests that are in progress then
 // are aborted: those of which the caller has received nothing get an error response.
 func (g *Gateway) Stop(ctx context.Context, drainDelay time.Duration) {
+	g.stopBegan.Store(int64(g.clock.Now()))
 	kcrdaemon.Sleep(ctx, drainDelay)
 	listening := ctx
 	if deadline, ok := ctx.Deadline(); ok {
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -123,11 +123,15 @@
 // not overloaded.
 const maxTimePerToken = 10 * kcrclock.Millisecond
 
-// endsBeforeStop reports whether the response is certain to be complete before the
-// deadline of a planned stop.
+// estimatePeriod is how long after its begin a planned stop takes a generation whose end is
+// only estimated. An engine may turn out to be overloaded.
+const estimatePeriod = 3 * kcrclock.Second
+
+// endsBeforeStop reports whether the request will end before the deadline of a planned
+// stop: probably during estimatePeriod, certainly after it.
 func (x *exchange) endsBeforeStop() bool {
 	maxTime := x.remaining()
-	if x.usage.declared {
+	if x.usage.declared && x.gateway.clock.Now().Sub(kcrclock.Time(x.gateway.stopBegan.Load())) < estimatePeriod {
 		maxTime = min(maxTime, x.route.LatencyTarget+kcrclock.Duration(x.usage.output)*maxTimePerToken)
 	}
 	return x.gateway.clock.Now().Add(maxTime) < kcrclock.Time(x.gateway.stopDeadline.Load())
--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"kingcuprun.example/link/kcrhttp"
 	"kingcuprun.example/router/kcrgateway"
 )
 
@@ -136,3 +137,41 @@
 		}
 	}
 }
+
+// Guards against streams that begin late in a stop and are cut off because their engine is
+// slower than estimated.
+func TestStopTakesNoStreamThatMayOutlastIt(t *testing.T) {
+	t.Parallel()
+	u := newUpstream(t, "u", func(_ int, req request, conn net.Conn) bool {
+		writeStream(conn, req.id(), 1, 1)
+		_, err := io.WriteString(conn, kcrhttp.LastChunk)
+		return err == nil
+	})
+	gw := newTestGateway(t, u)
+	const late = 3100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), late+time.Second)
+	defer cancel()
+	conn := dial(t, gw)
+	go gw.gateway.Stop(ctx, 0)
+	status := func(conn net.Conn) int {
+		_, rawRequest := newRequest("/stream/1", "", "body")
+		_, _ = io.WriteString(conn, strings.Replace(rawRequest, "100,70", "100,7", 1))
+		head, _, err := readResponse(bufio.NewReader(conn))
+		if err != nil {
+			t.Fatalf("expected a response, got %v", err)
+		}
+		return head.Status
+	}
+	began := time.Now()
+	next := dial(t, gw)
+	if got := status(conn); got != 200 {
+		t.Errorf("at the begin of the stop: expected 200, got %d", got)
+	}
+	for time.Since(began) < late { // a connection that is new keeps the stop going
+		time.Sleep(200 * time.Millisecond)
+		next = dial(t, gw)
+	}
+	if got := status(next); got != 503 {
+		t.Errorf("after %v: expected 503, since the stream may last longer than the stop, got %d", late, got)
+	}
+}
