--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -5,10 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"time"
 
 	"kingcuprun.example/kernel/kcrclock"
-	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrhttp"
@@ -30,6 +31,7 @@
 	fullyWritten bool                 // the whole request was written
 	head         *kcrhttp.Head        // of the response, nil until it is read
 	body         *kcrhttp.Body        // of the response, nil until its head is read
+	events       int                  // events of this run that were passed to the caller
 	ended        bool                 // end was called
 }
 
@@ -277,7 +279,7 @@
 	}
 	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started)})
 	if result == kcrplacement.ConnectionLost && x.content != 0 && x.route.Kind == kcrrule.Stream {
-		g.probeForCrash(x.content, a.choice)
+		g.probeForCrash(a)
 	}
 }
 
@@ -352,12 +354,22 @@
 
 // probeForCrash probes an upstream whose connection ended before its response
 // did. If it accepts no connection, it counts as crashed by the request content.
-func (g *Gateway) probeForCrash(content kcrid.ContentHash, choice *kcrplacement.Choice) {
-	addr, vm := choice.Addr, choice.ID
+func (g *Gateway) probeForCrash(a *attempt) {
+	addr, vm, content := a.choice.Addr, a.choice.ID, a.x.content
+	events, parts := a.events, formatParts(a.x.usage.promptParts)
 	g.goroutines.Go(func() {
 		if unreachable(addr) && g.config.Crashes.RecordCrash(content, vm) {
-			g.logger.Info("crash", "content", uint64(content), "id", string(vm), "count", g.config.Crashes.CrashedUpstreams(content))
+			g.logger.Info("crash", "content", uint64(content), "id", string(vm), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
 			g.config.OnCrash(content, vm)
 		}
 	})
 }
+
+// formatParts returns the IDs of the parts of a prompt as text for the log.
+func formatParts(parts []kcrplacement.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -241,11 +241,13 @@
 // writeEvents writes the complete events that have arrived to the caller. It
 // returns the reason why the run can't continue, or "".
 func (s *streamForwarder) writeEvents(a *attempt) (reason string) {
+	x := s.x
+	delivered := x.deliveredEvents
 	data, reason := s.takeNewEvents()
 	if len(data) == 0 {
 		return reason
 	}
-	x := s.x
+	a.events += x.deliveredEvents - delivered
 	c := x.caller
 	buf := c.writeBuf[:0]
 	if cap(buf) < readBufSize {
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -93,7 +93,7 @@
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
 			n.peers.Apply(n.clock.Now(), off, e)
 			if s := e.GetSuspect(); s != nil {
-				n.crashes.RecordCrash(kcrid.ContentHash(s.GetContent()), kcrid.VM(s.GetServer()))
+				n.applySuspect(kcrid.ContentHash(s.GetContent()), kcrid.VM(s.GetServer()), e.GetWriter())
 			}
 		},
 		Offset: n.peers.At, Batch: n.peers.Batch, MarkReady: n.peers.MarkReady, AllowsGaps: true,
@@ -101,6 +101,13 @@
 	}, c.Logger, c.SnapshotInterval.Std())
 }
 
+// applySuspect counts a crash that a router has reported.
+func (n *Node) applySuspect(content kcrid.ContentHash, vm kcrid.VM, writer string) {
+	if n.crashes.RecordCrash(content, vm) {
+		n.logger.Info("crash reported", "content", uint64(content), "id", string(vm), "count", n.crashes.CrashedUpstreams(content), "by", writer)
+	}
+}
+
 // peerReadInterval is the time between two reads of the peer stream.
 const peerReadInterval = 300 * time.Millisecond
 
