--- /dev/null
+++ b/router/kcrgateway/crash_test.go
@@ -0,0 +1,95 @@
+package kcrgateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// These tests send requests with a part of a prompt that crashes each engine that begins
+// to answer it.
+
+// crashingEngines are engines that end when they begin to answer a request whose prompt
+// has the part "bad".
+type crashingEngines struct {
+	upstreams []*upstream
+	crashes   atomic.Int64
+}
+
+func newCrashingEngines(t *testing.T, n int) *crashingEngines {
+	t.Helper()
+	e := &crashingEngines{}
+	for i := range n {
+		var u *upstream
+		var mu sync.Mutex
+		open := map[net.Conn]bool{}
+		u = newUpstream(t, fmt.Sprint("engine-", i), func(_ int, req request, conn net.Conn) bool {
+			mu.Lock()
+			open[conn] = true
+			mu.Unlock()
+			if !strings.Contains(req.head.Get("X-Parts"), "bad:") {
+				writeStream(conn, req.id(), 1, 2)
+				_, err := io.WriteString(conn, "0\r\n\r\n")
+				return err == nil
+			}
+			e.crashes.Add(1)
+			writeStream(conn, req.id(), 1, 0)
+			_ = u.listener.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			for c := range open {
+				_ = c.Close()
+			}
+			return false
+		})
+		e.upstreams = append(e.upstreams, u)
+	}
+	return e
+}
+
+// sendParts sends a request of a stream with parts of a prompt and returns the status of
+// the response, 0 if there is no complete one.
+func sendParts(t *testing.T, gw *testGateway, path, parts string) int {
+	t.Helper()
+	conn := dial(t, gw)
+	id, rawRequest := newRequest(path, "", "body")
+	rawRequest = strings.Replace(rawRequest, "X-Parts: a:60,b:40", "X-Parts: "+parts, 1)
+	rawRequest = strings.Replace(rawRequest, "body", id[len(id)-4:], 1) // no two bodies are alike
+	_, _ = io.WriteString(conn, rawRequest)
+	head, _, err := readResponse(bufio.NewReader(conn))
+	if err != nil {
+		return 0
+	}
+	return head.Status
+}
+
+// maxPartCrashes is how many engines a part of a prompt may crash before the requests that
+// have it are refused.
+const maxPartCrashes = 5
+
+// Guards against requests, no two alike, that crash one engine after the other by a part
+// that all their prompts have.
+func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/stream/1", "/resume/1"} {
+		engines := newCrashingEngines(t, 16)
+		gw := newTestGateway(t, engines.upstreams...)
+		status := 0
+		for i := range 12 {
+			status = sendParts(t, gw, path, fmt.Sprintf("5a:30,bad:30,%x:40", 0x1000+i))
+			if got := sendParts(t, gw, path, fmt.Sprintf("5a:30,50d:30,%x:40", 0x2000+i)); got != 200 {
+				t.Errorf("%s: a sound request with the same first part: expected 200, got %d", path, got)
+			}
+			time.Sleep(20 * time.Millisecond) // the end of the engine is noticed
+		}
+		if got := engines.crashes.Load(); got > maxPartCrashes || status != 503 {
+			t.Errorf("%s: expected at most %d engines to crash and a refusal, got %d and status %d", path, maxPartCrashes, got, status)
+		}
+	}
+}
