Parts of prompts that crash engines are found and refused

Cause: crashes were counted by the content of the request (path, team, body). Here no two requests are alike; what they share is one part of their prompts. The class of fault: a guard that identifies the culprit by the whole of a request, where a part of it is the cause.

Fix: kcrcrash.PartSuspects counts by part. A run that was lost without an event, at an engine that accepts no connection any more, raises the level that each part of its prompt (but the last) had when it was sent. So crashes count in sequence: engines that fail at the same moment raise a part only once, however popular it is. A complete answer proves the parts of its prompt harmless and clears them, which keeps the first part and the team out of it. From level three on requests with the part are refused (503, Retry-After), also before a further attempt. Routers report levels on their stream; two of them tell a router that joins, since the log may have dropped the records.

Evidence: in the record each crash has one request that was lost without any event, of the same team, and other parts of the same lengths were served all along. Ruled out: crashes that are not seen (139 lines "crash" in seven seconds) and reports that are not spread (counts of 2 and 3 of one content reach the other routers).

--- a/kernel/kcrpeer/registry.go
+++ b/kernel/kcrpeer/registry.go
@@ -63,20 +63,22 @@
 }
 
 // Apply applies one record of the stream. A Hello record that is applied before
-// MarkReady is of unknown age: it makes a peer known, but not alive.
-func (r *Registry) Apply(now kcrclock.Time, off kcrid.Offset, e *kcrentry.Entry) {
+// MarkReady is of unknown age: it makes a peer known, but not alive. Apply reports whether
+// the record is the first one of a peer, applied after MarkReady.
+func (r *Registry) Apply(now kcrclock.Time, off kcrid.Offset, e *kcrentry.Entry) (joined bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.at = max(r.at, off)
 	writer := kcrid.Incarnation(e.GetWriter())
 	if writer == r.self {
 		r.outbox.Confirm(e.GetSeq())
-		return
+		return false
 	}
 	hello := e.GetHello()
 	if hello == nil {
-		return
+		return false
 	}
+	_, known := r.peers[writer]
 	if len(r.peers) >= maxPeers {
 		clear(r.peers) // peers that are alive soon write another Hello record
 	}
@@ -88,6 +90,7 @@
 		p.lastHelloAt = now
 	}
 	r.peers[writer] = p
+	return r.ready && !known
 }
 
 // maxPeers is the maximum number of known peers. It is needed since each restart
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrcrash"
+	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrhttp"
@@ -32,6 +34,7 @@
 	head         *kcrhttp.Head        // of the response, nil until it is read
 	body         *kcrhttp.Body        // of the response, nil until its head is read
 	events       int                  // events of this run that were passed to the caller
+	suspects     kcrcrash.Run         // the shared parts of the prompt, with their levels at the start
 	ended        bool                 // end was called
 }
 
@@ -104,11 +107,14 @@
 	if x.interrupted() {
 		return nil, stateMayHaveRun, x.interruptReason()
 	}
+	if x.hasBannedPart() {
+		return nil, stateNotRun, reasonBannedPart
+	}
 	choice := x.gateway.table.Choose(x.gateway.clock.Now(), x.placementRequest())
 	if choice == nil {
 		return nil, stateNotRun, "no upstream"
 	}
-	a = &attempt{x: x, choice: choice}
+	a = &attempt{x: x, choice: choice, suspects: x.gateway.config.PartSuspects.Sent(x.usage.sharedParts)}
 	if reason = a.connect(); reason != "" {
 		a.end(kcrplacement.Unreachable, reason)
 		return a, stateNotRun, reason
@@ -352,17 +358,54 @@
 // upstream from a busy one.
 const probeTimeout = 100 * time.Millisecond
 
-// probeForCrash probes an upstream whose connection ended before its response
-// did. If it accepts no connection, it counts as crashed by the request content.
+// probeForCrash probes an upstream whose connection ended before its response did. If it
+// accepts no connection, the run counts as one that has crashed it. For a run without any
+// event the probe is awaited, because the next attempt depends on what it shows.
 func (g *Gateway) probeForCrash(a *attempt) {
-	addr, vm, content := a.choice.Addr, a.choice.ID, a.x.content
-	events, parts := a.events, formatParts(a.x.usage.promptParts)
-	g.goroutines.Go(func() {
-		if unreachable(addr) && g.config.Crashes.RecordCrash(content, vm) {
-			g.logger.Info("crash", "content", uint64(content), "id", string(vm), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
-			g.config.OnCrash(content, vm)
+	content, events, parts := a.x.content, a.events, formatParts(a.x.usage.promptParts)
+	choice, suspects := a.choice, a.suspects
+	probe := func() {
+		if !unreachable(choice.Addr) {
+			return
+		}
+		if g.config.Crashes.RecordCrash(content, choice.ID) {
+			g.logger.Info("crash", "content", uint64(content), "id", string(choice.ID), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
+			g.config.OnCrash(content, choice.ID)
 		}
-	})
+		if events == 0 {
+			g.raiseParts(suspects, choice.ID)
+		}
+	}
+	if events == 0 {
+		probe()
+		return
+	}
+	g.goroutines.Go(probe)
+}
+
+// raiseParts records that a run without any event crashed an upstream. An upstream that
+// crashes as it begins to answer a part of a prompt sends no event.
+func (g *Gateway) raiseParts(suspects kcrcrash.Run, vm kcrid.VM) {
+	raised := g.config.PartSuspects.Crashed(suspects)
+	if len(raised) == 0 {
+		return
+	}
+	for _, p := range raised {
+		g.logger.Info("part suspected", "part", strconv.FormatUint(uint64(p.Part), 16), "level", p.Level, "id", string(vm))
+	}
+	g.config.OnPartLevels(raised)
+}
+
+// clearParts records that a request was answered completely.
+func (x *exchange) clearParts() {
+	cleared := x.gateway.config.PartSuspects.Served(x.usage.sharedParts)
+	if len(cleared) == 0 {
+		return
+	}
+	for _, p := range cleared {
+		x.gateway.logger.Info("part cleared", "part", strconv.FormatUint(uint64(p.Part), 16), "req", x.id)
+	}
+	x.gateway.config.OnPartLevels(cleared)
 }
 
 // formatParts returns the IDs of the parts of a prompt as text for the log.
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -59,14 +59,18 @@
 	Rules       *kcrrule.ActiveRules // routes, services and teams
 	Upstreams   *kcrplacement.Table  // selects upstreams
 	Crashes     *kcrcrash.Counter    // counts crashes of upstreams by request content
-	Budget      TeamBudget
-	Retries     RetryLimits
+	// PartSuspects holds the parts of prompts that crash upstreams.
+	PartSuspects *kcrcrash.PartSuspects
+	Budget       TeamBudget
+	Retries      RetryLimits
 	// RouterCount returns the number of routers that share the retry budget, 0 if it
 	// is unknown.
 	RouterCount func() int
 	// OnCrash is called when a request content has crashed an upstream for the
 	// first time.
 	OnCrash func(content kcrid.ContentHash, vm kcrid.VM)
+	// OnPartLevels is called with the levels of PartSuspects that other routers must know.
+	OnPartLevels func([]kcrcrash.PartLevel)
 }
 
 // RetryLimits bounds the retries of each service within a sliding window.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -205,6 +205,7 @@
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle},
 		Retries:     retries,
 		RouterCount: func() int { return 1 }, OnCrash: func(kcrid.ContentHash, kcrid.VM) {},
+		PartSuspects: kcrcrash.NewPartSuspects(3), OnPartLevels: func([]kcrcrash.PartLevel) {},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -8,6 +8,7 @@
 
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrcrash"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
@@ -25,6 +26,7 @@
 	prompt      kcrid.Tokens // length of the prompt
 	output      kcrid.Tokens // maximum of the output
 	promptParts []kcrplacement.PromptPart
+	sharedParts []kcrcrash.Part // the parts that other requests may have too: all but the last
 }
 
 // maxTokens returns the most tokens that the request can use.
@@ -70,10 +72,22 @@
 			return x.refuse(statusUnavailable, "the request crashes upstreams", retryAfterLong)
 		}
 	}
+	if x.hasBannedPart() {
+		return x.refuse(statusUnavailable, reasonBannedPart, retryAfterLong)
+	}
 	x.gateway.retryWindow(x.service).RecordRequest(x.started)
 	return true
 }
 
+// reasonBannedPart is the reason of a request whose prompt has a banned part.
+const reasonBannedPart = "a part of the prompt crashes upstreams"
+
+// hasBannedPart reports whether the prompt has a part that crashes upstreams.
+func (x *exchange) hasBannedPart() bool {
+	_, banned := x.gateway.config.PartSuspects.FindBanned(x.usage.sharedParts)
+	return banned
+}
+
 // matchRoute finds the route and the team, and requires a request ID.
 func (x *exchange) matchRoute() bool {
 	names := &x.gateway.headerNames
@@ -178,6 +192,9 @@
 	}
 	x.usage = usage{declared: true, prompt: kcrid.Tokens(promptTokens), output: kcrid.Tokens(outputTokens)}
 	x.usage.promptParts = parseParts(x.head.Get(x.gateway.headerNames.PromptParts))
+	for _, part := range x.usage.promptParts[:max(0, len(x.usage.promptParts)-1)] {
+		x.usage.sharedParts = append(x.usage.sharedParts, kcrcrash.Part(part.ID))
+	}
 	return true
 }
 
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -104,6 +104,7 @@
 	reason = s.forwardEvents(a)
 	if reason == "" {
 		a.end(kcrplacement.Served, "")
+		x.clearParts()
 		s.finish(a)
 		return ""
 	}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -73,7 +73,8 @@
 	rules             *kcrrule.ActiveRules
 	fleet             *kcrfleet.Fleet
 	table             *kcrplacement.Table
-	crashes           *kcrcrash.Counter // requests that crashed upstreams
+	crashes           *kcrcrash.Counter      // requests that crashed upstreams
+	partSuspects      *kcrcrash.PartSuspects // parts of prompts that crash upstreams
 	gateway           *kcrgateway.Gateway
 	buckets           []*bucket
 	peers             *kcrpeer.Registry
@@ -101,7 +102,8 @@
 	// an outage of the store. Most entries are back by then, and an engine that left
 	// just after a short outage gets no request two seconds later.
 	missingEntryGrace = 1600 * kcrclock.Millisecond
-	// maxCrashes is how many upstreams a request may crash.
+	// maxCrashes is how many upstreams a request may crash, or a part of prompts in
+	// sequence.
 	maxCrashes = 3
 	// assumedRouters is the number of routers that are assumed to share the escrow
 	// while this router knows no others.
@@ -121,6 +123,7 @@
 		fleet:         kcrfleet.New(missingEntryGrace),
 		table:         kcrplacement.New(c.Zone, c.Weights),
 		crashes:       kcrcrash.New(maxCrashes),
+		partSuspects:  kcrcrash.NewPartSuspects(maxCrashes),
 		escrowChanged: kcrdaemon.NewSignal(),
 		homes:         newHomeDirectory(),
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
@@ -137,6 +140,7 @@
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnCrash: n.reportCrash,
+		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle},
 	})
 	if err != nil {
@@ -174,6 +178,16 @@
 	n.peerFollower.Wake()
 }
 
+// reportParts tells the other routers the levels of parts of prompts.
+func (n *Node) reportParts(levels []kcrcrash.PartLevel) {
+	parts := &kcrentry.Parts{}
+	for _, p := range levels {
+		parts.Parts = append(parts.Parts, &kcrentry.Part{Id: uint64(p.Part), Level: uint32(p.Level)})
+	}
+	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Parts{Parts: parts}})
+	n.peerFollower.Wake()
+}
+
 // tick runs the periodic work.
 func (n *Node) tick() {
 	now := n.clock.Now()
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
+	"kingcuprun.example/kernel/kcrcrash"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrfleet"
 	"kingcuprun.example/kernel/kcrid"
@@ -91,7 +93,10 @@
 func (n *Node) followPeers(c Config) {
 	n.peerFollower = kcrdaemon.NewFollower(c.Log, kcrid.PeerStream, kcrdaemon.StateMachine{
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
-			n.peers.Apply(n.clock.Now(), off, e)
+			if joined := n.peers.Apply(n.clock.Now(), off, e); joined {
+				n.tellBannedParts()
+			}
+			n.applyParts(e)
 			if s := e.GetSuspect(); s != nil {
 				n.applySuspect(kcrid.ContentHash(s.GetContent()), kcrid.VM(s.GetServer()), e.GetWriter())
 			}
@@ -108,6 +113,36 @@
 	}
 }
 
+// applyParts applies the levels of parts of prompts that another router has reported.
+func (n *Node) applyParts(e *kcrentry.Entry) {
+	if kcrid.Incarnation(e.GetWriter()) == n.self {
+		return
+	}
+	for _, p := range e.GetParts().GetParts() {
+		level := kcrcrash.PartLevel{Part: kcrcrash.Part(p.GetId()), Level: int(p.GetLevel())}
+		if level.Level == 0 {
+			n.partSuspects.Clear(level.Part)
+		} else {
+			n.partSuspects.Raise(level)
+		}
+		n.logger.Info("part reported", "part", strconv.FormatUint(p.GetId(), 16), "level", level.Level, "by", e.GetWriter())
+	}
+}
+
+// tellBannedParts tells a router that has joined which parts are banned, since the log may
+// have deleted the records. A few routers do it.
+func (n *Node) tellBannedParts() {
+	if n.peers.Rank(n.clock.Now(), string(kcrid.PeerStream)) >= bannedPartTellers {
+		return
+	}
+	if banned := n.partSuspects.Banned(); len(banned) > 0 {
+		n.reportParts(banned)
+	}
+}
+
+// bannedPartTellers is how many routers tell one that has joined which parts are banned.
+const bannedPartTellers = 2
+
 // peerReadInterval is the time between two reads of the peer stream.
 const peerReadInterval = 300 * time.Millisecond
 
