A planned stop waits for loans of escrow in flight, and returns them

Callers would see an earlier 402: a loan that reached a router just after its planned stop had returned its escrow was kept by nobody, and missing from the team's budget.

Nobody returned a loan that was added later, and Stop waited neither for it nor for the returns of the periodic work.

Why it works: each loan and return is counted before it is checked whether borrowing has ended, and Stop ends borrowing before it reads the count. So a loan is either refused or waited for. Loans that come after the first wait are returned on arrival and are part of the count until the return has ended. Both waits end with the time for the stop.

--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -18,23 +18,27 @@
 // escrow that is not needed. A loan has two amounts: need is what a waiting request
 // lacks, want is need plus the expected demand; worstCase is the most that the request
 // may use. Invariant: a plan has at most one loan in progress, apart from overdue
-// calls, whose answers still count.
+// calls, whose answers still count. Node.transfers counts each loan and return from before
+// its tokens leave one wallet until they are in the other, or lost.
 
-// borrow starts a loan in the background, unless one for the plan is in progress.
-// It asks the homes of the bucket for the tokens that a request of worstCase tokens
-// lacks, or for those of the expected demand if worstCase is 0. If no home answers, it
-// claims escrow from the ledger for this router.
+// borrow starts a loan in the background, unless one for the plan is in progress or
+// borrowing has ended. It asks the homes of the bucket for the tokens that a request of
+// worstCase tokens lacks, or for those of the expected demand if worstCase is 0. If no
+// home answers, it claims escrow from the ledger for this router.
 func (n *Node) borrow(b *bucket, plan kcrid.Plan, worstCase kcrid.Tokens) {
-	if !b.beginLoan(n.clock.Now(), plan) {
+	n.transfers.Add(1) // before borrowingEnded is read, so that Stop waits for the loan
+	if n.borrowingEnded.Load() || !b.beginLoan(n.clock.Now(), plan) {
+		n.transfers.Done()
 		return
 	}
 	n.loans.Inc()
 	n.wg.Go(func() {
+		defer n.transfers.Done()
 		defer b.endLoan(plan)
 		now := n.clock.Now()
 		need, want := b.wallet.Shortfall(now, plan, worstCase)
 		for _, addr := range n.homes.candidates(now, b.number) {
-			if n.borrowFrom(addr, b, plan, need, want, worstCase) {
+			if n.borrowFrom(addr, b, plan, need, want, worstCase) || n.borrowingEnded.Load() {
 				return
 			}
 		}
@@ -64,7 +68,9 @@
 // itself must not treat its homes as dead, nor lose the tokens that they lend.
 func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worstCase kcrid.Tokens) bool {
 	answered := make(chan bool, 1)
+	n.transfers.Add(1)
 	n.wg.Go(func() {
+		defer n.transfers.Done()
 		loan, err := n.callHome(addr, n.loanRequest(plan, need, want))
 		if err == nil && loan.Outcome == kcrbudget.NotHolder {
 			err = errHomeStops
@@ -108,6 +114,9 @@
 	if loan.Tokens > 0 {
 		b.wallet.AddBorrowed(plan, loan.Tokens)
 	}
+	if n.borrowingEnded.Load() {
+		n.returnExcess(b)
+	}
 	b.wallet.SetUnspent(now, plan, loan.Unspent)
 	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
 		"need", int64(need), "wanted", int64(want), "left", int64(loan.Unspent), "code", loan.Outcome.String())
@@ -141,12 +150,24 @@
 			n.borrow(b, plan, 0)
 		}
 	}
-	for _, excess := range b.wallet.TakeExcess(false) {
-		n.wg.Go(func() { n.returnEscrow(b, excess) })
-	}
+	n.returnExcess(b)
 	n.keepHomeOpen(now, b)
 }
 
+// returnExcess returns, in the background, the borrowed escrow that exceeds the expected
+// demand, or all that is unused once borrowing has ended.
+func (n *Node) returnExcess(b *bucket) {
+	n.transfers.Add(1)
+	defer n.transfers.Done()
+	for _, excess := range b.wallet.TakeExcess(n.borrowingEnded.Load()) {
+		n.transfers.Add(1)
+		n.wg.Go(func() {
+			defer n.transfers.Done()
+			n.returnEscrow(b, excess)
+		})
+	}
+}
+
 // keepHomeOpen calls the home of a bucket that has no traffic. A bucket without an
 // open home gets no new snapshots, and its snapshots would expire from the log
 // before its records do. One router does this for each bucket.
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -82,6 +82,8 @@
 	escrowChanged     *kcrdaemon.Signal // wakes requests that wait for escrow
 	homes             *homeDirectory
 	loans             prometheus.Counter // loans started
+	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
+	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
 	pool              *kcrlink.Pool
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
@@ -337,13 +339,16 @@
 		defer cancel()
 	}
 	n.gateway.Stop(serving, notReadyDelay)
+	n.borrowingEnded.Store(true)
+	// Loans in flight come first, since Retire reports the spending that no loan covers. One
+	// that comes later still is returned by receiveLoan.
+	n.transfers.Wait(serving)
 	for _, b := range n.buckets {
-		for _, excess := range b.wallet.TakeExcess(true) {
-			n.returnEscrow(b, excess)
-		}
+		n.returnExcess(b)
 		b.wallet.Retire(n.clock.Now())
 		b.wakeFollower()
 	}
+	n.transfers.Wait(ctx)
 	n.waitForAppends(ctx)
 	n.logger.Info("stopped", "active", n.gateway.ActiveRequests())
 	n.gateway.Close()
