A stream that ends with its connection before any event has been broken off

It is now broken off: 502, or a further run where the route allows it.

TestStreamThatEndsWithItsConnection failed before on both kinds of route; ends after an event and within one were handled.

--- a/router/kcrgateway/failures_test.go
+++ b/router/kcrgateway/failures_test.go
@@ -307,3 +307,41 @@
 		}
 	}
 }
+
+// TestStreamThatEndsWithItsConnection checks streams with neither a length nor chunks: they
+// are complete if their upstream closes the connection after an event, and broken off
+// within an event or before the first one.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n"
+	for _, c := range []struct {
+		name, events string
+		broken       bool
+	}{
+		{name: "after an event", events: formatEvents(2)},
+		{name: "within an event", events: formatEvents(1) + "id: 2\ndata:", broken: true},
+		{name: "before the first event", broken: true},
+	} {
+		for _, path := range []string{"/stream/1", "/resume/1"} {
+			ending := newUpstream(t, "a", func(_ int, req request, conn net.Conn) bool {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(head, "%s", req.id())+c.events)
+				return false
+			})
+			serving := newUpstream(t, "b", func(_ int, req request, conn net.Conn) bool {
+				writeStream(conn, req.id(), 1, 2)
+				_, err := io.WriteString(conn, kcrhttp.LastChunk)
+				return err == nil
+			})
+			gw := newTestGateway(t, ending, serving)
+			gw.placeNearAndFar(ending, serving)
+			head, body, err := roundTrip(t, gw, path, "")
+			looksComplete := err == nil && head.Status == 200
+			switch {
+			case looksComplete && body != formatEvents(2):
+				t.Errorf("%s %s: expected no incomplete stream that looks complete, got %q", path, c.name, body)
+			case !looksComplete && (!c.broken || path == "/resume/1"):
+				t.Errorf("%s %s: expected the complete stream, got %+v %q %v", path, c.name, head, body, err)
+			}
+		}
+	}
+}
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -208,6 +208,8 @@
 		switch {
 		case errors.Is(err, io.EOF) && s.events.Pending() > 0:
 			return "the stream ended within an event"
+		case errors.Is(err, io.EOF) && a.body.UntilClose() && s.lastEventID < 0 && s.x.deliveredEvents == 0:
+			return "the stream ended before its first event"
 		case errors.Is(err, io.EOF):
 			return ""
 		case err != nil:
