Requests without a body count by the parts of their prompts too

A connection that was lost was only probed for requests with a body, since crashes were counted by it.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -284,7 +284,7 @@
 		reason += ", on a kept connection"
 	}
 	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started)})
-	if result == kcrplacement.ConnectionLost && x.content != 0 && x.route.Kind == kcrrule.Stream {
+	if result == kcrplacement.ConnectionLost && x.route.Kind == kcrrule.Stream && (x.content != 0 || len(x.usage.sharedParts) > 0) {
 		g.probeForCrash(a)
 	}
 }
@@ -368,7 +368,7 @@
 		if !unreachable(choice.Addr) {
 			return
 		}
-		if g.config.Crashes.RecordCrash(content, choice.ID) {
+		if content != 0 && g.config.Crashes.RecordCrash(content, choice.ID) {
 			g.logger.Info("crash", "content", uint64(content), "id", string(choice.ID), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
 			g.config.OnCrash(content, choice.ID)
 		}
--- a/router/kcrgateway/crash_test.go
+++ b/router/kcrgateway/crash_test.go
@@ -53,14 +53,13 @@
 	return e
 }
 
-// sendParts sends a request of a stream with parts of a prompt and returns the status of
+// sendParts sends a request of a stream with a body and parts of a prompt. It returns the status of
 // the response, 0 if there is no complete one.
-func sendParts(t *testing.T, gw *testGateway, path, parts string) int {
+func sendParts(t *testing.T, gw *testGateway, path, body, parts string) int {
 	t.Helper()
 	conn := dial(t, gw)
-	id, rawRequest := newRequest(path, "", "body")
+	_, rawRequest := newRequest(path, "", body)
 	rawRequest = strings.Replace(rawRequest, "X-Parts: a:60,b:40", "X-Parts: "+parts, 1)
-	rawRequest = strings.Replace(rawRequest, "body", id[len(id)-4:], 1) // no two bodies are alike
 	_, _ = io.WriteString(conn, rawRequest)
 	head, _, err := readResponse(bufio.NewReader(conn))
 	if err != nil {
@@ -77,19 +76,27 @@
 // that all their prompts have.
 func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
 	t.Parallel()
-	for _, path := range []string{"/stream/1", "/resume/1"} {
+	for _, c := range []struct {
+		path    string
+		hasBody bool
+	}{{"/stream/1", true}, {"/resume/1", true}, {"/stream/1", false}} {
+		path := c.path
 		engines := newCrashingEngines(t, 16)
 		gw := newTestGateway(t, engines.upstreams...)
 		status := 0
 		for i := range 12 {
-			status = sendParts(t, gw, path, fmt.Sprintf("5a:30,bad:30,%x:40", 0x1000+i))
-			if got := sendParts(t, gw, path, fmt.Sprintf("5a:30,50d:30,%x:40", 0x2000+i)); got != 200 {
+			body := "" // no two bodies are alike
+			if c.hasBody {
+				body = fmt.Sprint("body ", i)
+			}
+			status = sendParts(t, gw, path, body, fmt.Sprintf("5a:30,bad:30,%x:40", 0x1000+i))
+			if got := sendParts(t, gw, path, "body", fmt.Sprintf("5a:30,50d:30,%x:40", 0x2000+i)); got != 200 {
 				t.Errorf("%s: a sound request with the same first part: expected 200, got %d", path, got)
 			}
 			time.Sleep(20 * time.Millisecond) // the end of the engine is noticed
 		}
 		if got := engines.crashes.Load(); got > maxPartCrashes || status != 503 {
-			t.Errorf("%s: expected at most %d engines to crash and a refusal, got %d and status %d", path, maxPartCrashes, got, status)
+			t.Errorf("%s, body %t: expected at most %d engines to crash and a refusal, got %d and status %d", path, c.hasBody, maxPartCrashes, got, status)
 		}
 	}
 }
