A link's planned stop ends when every session has served its last call

Callers saw: calls on a session opened around Server.Shutdown ended with EOF, a connection reset or "session shutdown" instead of ErrNotSent, although they were not served. A call that the server had accepted could be cut off before it was counted.

The kernel reset connections that nobody had accepted, and callers had sent calls on them already.

Fix: Each session rejects calls when the server stops, whenever it was accepted. It then accepts what is queued, waits for its handlers, and closes after the peer has read replies and rejections. Shutdown waits for the accept loop and all sessions, or for ctx. A pool uses a new session only after the server has answered a ping on it, so nothing is sent on a connection that was not accepted. The frames on the wire are the same. A first call costs a round trip more.

--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -119,12 +119,13 @@
 	listener net.Listener
 	handler  Handler
 	cancel   context.CancelFunc
-	wg       conc.WaitGroup
+	stopping context.Context // done when Shutdown was called
+	stop     context.CancelFunc
+	wg       conc.WaitGroup // acceptSessions, and serveSession of each session
 
-	mu          sync.Mutex
-	sessions    map[*yamux.Session]bool // open sessions
-	activeCalls int                     // calls whose handler has not returned
-	closed      bool                    // Close was called
+	mu       sync.Mutex
+	sessions map[*yamux.Session]bool // open sessions
+	closed   bool                    // Close was called
 }
 
 // Listen starts a server on an address of the form ip:port. The handler is called once
@@ -137,6 +138,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s = &Server{listener: listener, handler: handler, cancel: cancel, sessions: map[*yamux.Session]bool{}}
+	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.wg.Go(func() { s.acceptSessions(ctx) })
 	return s, nil
 }
@@ -181,28 +183,56 @@
 	delete(s.sessions, session)
 }
 
-// serveSession serves the calls of a session until it ends, and waits for them.
+// serveSession serves the calls of a session until it ends or the server shuts down, and
+// waits for them.
 func (s *Server) serveSession(ctx context.Context, session *yamux.Session) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	defer s.removeSession(session)
-	var calls conc.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	accepting, stopAccepting := context.WithCancel(ctx)
+	var calls, watch conc.WaitGroup
+	watch.Go(func() {
+		defer cancel()
+		select {
+		case <-s.stopping.Done():
+			rejectCalls(session)
+			stopAccepting()
+			<-session.CloseChan()
+		case <-session.CloseChan():
+		}
+	})
+	defer watch.Wait()
 	defer calls.Wait()
 	defer func() { _ = session.Close() }()
 	for {
-		conn, err := session.Accept()
+		conn, err := acceptCall(accepting, session)
+		if errors.Is(err, context.Canceled) {
+			calls.Wait()
+			awaitRejections(session)
+			return
+		}
 		if err != nil {
-			cancel()
 			return
 		}
-		s.addActiveCalls(1)
-		calls.Go(func() {
-			defer s.addActiveCalls(-1)
-			s.serveCall(ctx, newStream(conn))
-		})
+		calls.Go(func() { s.serveCall(ctx, newStream(conn)) })
 	}
 }
 
+// maxAcceptAttempts bounds the chance that acceptCall misses a call to 1 in 2^64.
+const maxAcceptAttempts = 64
+
+// acceptCall accepts a call. It returns context.Canceled when ctx is canceled and no call
+// waits, and another error when the session has ended.
+func acceptCall(ctx context.Context, session *yamux.Session) (conn *yamux.Stream, err error) {
+	for range maxAcceptAttempts {
+		// If ctx is canceled and a call waits, yamux returns one or the other at random.
+		conn, err = session.AcceptStreamWithContext(ctx)
+		if !errors.Is(err, context.Canceled) {
+			break
+		}
+	}
+	return conn, err
+}
+
 // serveCall reads the request of a call and calls the handler.
 func (s *Server) serveCall(ctx context.Context, stream *Stream) {
 	defer func() { _ = stream.Close() }()
@@ -213,57 +243,43 @@
 	s.handler(ctx, &req, stream)
 }
 
-// addActiveCalls changes the number of active calls and returns it.
-func (s *Server) addActiveCalls(n int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.activeCalls += n
-	return s.activeCalls
-}
-
-// shutdownPollInterval is the time between two checks whether calls are active.
-const shutdownPollInterval = 5 * time.Millisecond
-
 // Shutdown stops the server without breaking off a call: it rejects new calls, so that
 // their callers get ErrNotSent, waits until the handlers of the others have returned or
 // ctx ends, and closes the server.
 func (s *Server) Shutdown(ctx context.Context) {
 	_ = s.listener.Close()
-	rejecting := make(chan struct{})
+	s.stop()
+	ended := make(chan struct{})
 	go func() {
-		s.rejectCalls()
-		close(rejecting)
+		s.wg.Wait()
+		close(ended)
 	}()
 	select {
-	case <-rejecting:
+	case <-ended:
 	case <-ctx.Done():
 	}
-	for idle := false; !idle && ctx.Err() == nil; {
-		select { // also leaves the time to start the calls that were accepted last
-		case <-ctx.Done():
-		case <-time.After(shutdownPollInterval):
-		}
-		idle = s.addActiveCalls(0) == 0
-	}
 	s.Close()
 }
 
-// rejectCalls makes all sessions reject new calls, and returns when the peers know it.
-func (s *Server) rejectCalls() {
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for session := range s.sessions {
-		wg.Go(func() {
-			// A session that has ended gets no calls, so its errors do not matter. The
-			// first ping returns after the peer has read that it must open no more calls,
-			// the second after it has read the rejections of those that it had opened.
-			_ = session.GoAway()
-			_, _ = session.Ping()
-			_, _ = session.Ping()
-		})
+// rejectCalls makes a session reject new calls. It returns when the peer has read that it
+// must open no more calls, and those that are not rejected wait to be accepted.
+func rejectCalls(session *yamux.Session) {
+	// A session that has ended gets no calls, so its errors do not matter.
+	_ = session.GoAway()
+	_, _ = session.Ping()
+}
+
+// lateCallDelay is the time for calls to arrive that the peer began to open before it read
+// that it must open no more.
+const lateCallDelay = 25 * time.Millisecond
+
+// awaitRejections returns when the peer has read the replies and rejections of its calls.
+func awaitRejections(session *yamux.Session) {
+	select {
+	case <-session.CloseChan():
+	case <-time.After(lateCallDelay):
 	}
+	_, _ = session.Ping()
 }
 
 // Close stops the server, ends its sessions, and waits until the handlers have returned.
@@ -328,9 +344,24 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	if err := awaitServer(ctx, opened); err != nil {
+		_ = opened.Close()
+		return nil, err
+	}
 	return p.addSession(addr, opened), nil
 }
 
+// awaitServer returns when the server has answered on a new session. A server that stops
+// may reset a connection that it has not accepted, and a call on it would end in doubt.
+func awaitServer(ctx context.Context, session *yamux.Session) error {
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	_, err := session.Ping()
+	if !stop() {
+		return ctx.Err()
+	}
+	return err
+}
+
 // addSession adds a session and returns it. If another call has added one meanwhile,
 // addSession closes the new session and returns the other.
 func (p *Pool) addSession(addr string, opened *yamux.Session) *yamux.Session {
