A crash of one upstream raises the level of a part once

Requests that are sent to an upstream in the moments after its crash, on connections that are still open, are lost without an event too. Each counted as one more crash in sequence for all parts of its prompt, so three of them in a row would have banned a part that is sound. A level now names the upstream, with its start, whose crash raised it, and a further loss there does not raise it again.

--- a/kernel/kcrcrash/parts_test.go
+++ b/kernel/kcrcrash/parts_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 
 	"kingcuprun.example/kernel/kcrcrash"
+	"kingcuprun.example/kernel/kcrid"
 )
 
 // This file tests when a part of a prompt is banned.
 
+// upstream returns an upstream.
+func upstream(i int) kcrid.Incarnation { return kcrid.IncarnationOf("vm", strconv.Itoa(i)) }
+
 // isBanned reports whether a request with a part is refused.
 func isBanned(s *kcrcrash.PartSuspects, part kcrcrash.Part) bool {
 	_, ok := s.FindBanned([]kcrcrash.Part{1, part})
@@ -22,7 +27,7 @@
 		if isBanned(s, 7) {
 			t.Fatalf("after %d crashes: expected the part not to be banned", i)
 		}
-		s.Crashed(s.Sent([]kcrcrash.Part{7, kcrcrash.Part(100 + i)}))
+		s.Crashed(s.Sent([]kcrcrash.Part{7, kcrcrash.Part(100 + i)}), upstream(i))
 	}
 	if !isBanned(s, 7) {
 		t.Error("after 3 crashes: expected the part to be banned")
@@ -42,8 +47,8 @@
 	for i := range 20 {
 		runs = append(runs, s.Sent([]kcrcrash.Part{7, kcrcrash.Part(100 + i)}))
 	}
-	for _, run := range runs {
-		s.Crashed(run)
+	for i, run := range runs {
+		s.Crashed(run, upstream(i))
 	}
 	if isBanned(s, 7) {
 		t.Error("expected 20 upstreams that fail at once not to ban a part")
@@ -55,7 +60,7 @@
 	t.Parallel()
 	s := kcrcrash.NewPartSuspects(3)
 	for i := range 10 {
-		s.Crashed(s.Sent([]kcrcrash.Part{7, 8}))
+		s.Crashed(s.Sent([]kcrcrash.Part{7, 8}), upstream(i))
 		cleared := s.Served([]kcrcrash.Part{7, 9})
 		if isTold := len(cleared) > 0; isTold {
 			t.Errorf("crash %d: expected a level of 1 to be cleared here alone, got %v", i, cleared)
@@ -99,3 +104,21 @@
 		t.Error("expected the part to stay banned")
 	}
 }
+
+// Guards against a ban of parts whose requests reach an upstream that has just crashed.
+func TestCrashOfOneUpstreamCountsOnce(t *testing.T) {
+	t.Parallel()
+	s := kcrcrash.NewPartSuspects(3)
+	for range 5 {
+		s.Crashed(s.Sent([]kcrcrash.Part{7}), upstream(1))
+	}
+	if isBanned(s, 7) {
+		t.Error("expected one upstream not to ban a part")
+	}
+	for i := range 2 {
+		s.Crashed(s.Sent([]kcrcrash.Part{7}), upstream(2+i))
+	}
+	if !isBanned(s, 7) {
+		t.Error("expected three upstreams to ban the part")
+	}
+}
--- a/kernel/kcrcrash/storm_test.go
+++ b/kernel/kcrcrash/storm_test.go
@@ -137,7 +137,7 @@
 	s.backAt[engine] = s.now + 2_000
 	s.runs = slices.DeleteFunc(s.runs, func(r stormRun) bool {
 		if r.engine == engine && s.now <= r.answersAt {
-			s.report(r.router, s.suspects[r.router].Crashed(r.run))
+			s.report(r.router, s.suspects[r.router].Crashed(r.run, upstream(stormEngines*s.now+engine)))
 		}
 		return r.engine == engine
 	})
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -373,7 +373,7 @@
 			g.config.OnCrash(content, choice.ID)
 		}
 		if events == 0 {
-			g.raiseParts(suspects, choice.ID)
+			g.raiseParts(suspects, kcrid.IncarnationOf(choice.ID, strconv.FormatInt(choice.StartedAt, 10)))
 		}
 	}
 	if events == 0 {
@@ -385,13 +385,13 @@
 
 // raiseParts records that a run without any event crashed an upstream. An upstream that
 // crashes as it begins to answer a part of a prompt sends no event.
-func (g *Gateway) raiseParts(suspects kcrcrash.Run, vm kcrid.VM) {
-	raised := g.config.PartSuspects.Crashed(suspects)
+func (g *Gateway) raiseParts(suspects kcrcrash.Run, upstream kcrid.Incarnation) {
+	raised := g.config.PartSuspects.Crashed(suspects, upstream)
 	if len(raised) == 0 {
 		return
 	}
 	for _, p := range raised {
-		g.logger.Info("part suspected", "part", strconv.FormatUint(uint64(p.Part), 16), "level", p.Level, "id", string(vm))
+		g.logger.Info("part suspected", "part", strconv.FormatUint(uint64(p.Part), 16), "level", p.Level, "id", string(upstream))
 	}
 	g.config.OnPartLevels(raised)
 }
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -184,7 +184,7 @@
 func (n *Node) reportParts(levels []kcrcrash.PartLevel) {
 	parts := &kcrentry.Parts{}
 	for _, p := range levels {
-		parts.Parts = append(parts.Parts, &kcrentry.Part{Id: uint64(p.Part), Level: uint32(p.Level)})
+		parts.Parts = append(parts.Parts, &kcrentry.Part{Id: uint64(p.Part), Level: uint32(p.Level), Server: string(p.Upstream)})
 	}
 	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Parts{Parts: parts}})
 	n.peerFollower.Wake()
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -119,7 +119,7 @@
 		return
 	}
 	for _, p := range e.GetParts().GetParts() {
-		level := kcrcrash.PartLevel{Part: kcrcrash.Part(p.GetId()), Level: int(p.GetLevel())}
+		level := kcrcrash.PartLevel{Part: kcrcrash.Part(p.GetId()), Level: int(p.GetLevel()), Upstream: kcrid.Incarnation(p.GetServer())}
 		if level.Level == 0 {
 			n.partSuspects.Clear(level.Part)
 		} else {
