Parts that were once answered completely are never suspected

Two runs of one request raise both to level two, the clearing of the first part reaches the other routers up to 0.6 s later, and a crash there in between raised both to three; on the log that raise comes after the clearing, so it stays until a request with the part that is under way ends well.

A part of which a request was answered completely can't be one that crashes each upstream. So the proof is kept (two sets of 16,384 parts), raises of such a part are ignored, and a router that hears of a level above one answers with a clearing. Of the parts of a run that would be banned together only the last one is: fewer requests have it.

TestOnlyTheLastPartOfARunIsBanned (both parts were banned before, by the rule of that time).

--- a/kernel/kcrcrash/parts.go
+++ b/kernel/kcrcrash/parts.go
@@ -13,13 +13,12 @@
 // The level of a part counts crashes in sequence: a crash raises the level that the part
 // had when the lost run was sent by one. Upstreams that fail at the same moment, for
 // another reason, therefore raise it only once, however many run requests with the part,
-// and the same holds for requests that reach an upstream just after its crash. A complete
-// answer to a request with the part proves the part harmless and clears its level. A part
-// whose level reaches the limit is banned.
+// and the same holds for requests that reach an upstream just after its crash. A part whose
+// level reaches the limit is banned. If several parts of a run would reach it, only the last
+// of them does, since fewer requests have it.
 //
-// Invariant: levels only depend on the set of crashes between two complete answers, not on
-// the order in which a process learns of them, so that processes that tell each other their
-// levels agree.
+// A complete answer to a request with the part proves the part harmless: it has no level
+// any more, whatever other processes report.
 
 // Part identifies a part of a prompt.
 type Part uint64
@@ -38,6 +37,9 @@
 // forgotten, or the oldest of all if all are.
 const maxParts = 8192
 
+// maxProven bounds each of the two sets of parts that are proven harmless.
+const maxProven = 16384
+
 // PartSuspects holds the levels of parts. It is safe for concurrent use.
 type PartSuspects struct {
 	limit int // level from which a part is banned
@@ -45,11 +47,14 @@
 	mu     sync.Mutex
 	levels map[Part]PartLevel
 	parts  []Part // keys of levels, oldest first
+	// proven holds the parts that were proven harmless since it was last full, before those
+	// of the time before that.
+	proven, before map[Part]struct{}
 }
 
 // NewPartSuspects returns suspects without any part. A part is banned from level limit on.
 func NewPartSuspects(limit int) *PartSuspects {
-	return &PartSuspects{limit: limit, levels: map[Part]PartLevel{}}
+	return &PartSuspects{limit: limit, levels: map[Part]PartLevel{}, proven: map[Part]struct{}{}}
 }
 
 // Sent records that a request with these parts is sent to an upstream.
@@ -68,24 +73,52 @@
 func (s *PartSuspects) Crashed(run Run, upstream kcrid.Incarnation) (raised []PartLevel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, sent := range run.levels {
-		risen := PartLevel{sent.Part, sent.Level + 1, upstream}
-		if s.levels[sent.Part].Upstream != upstream && s.raise(risen) {
-			raised = append(raised, risen)
+	maxLevel := s.limit
+	for _, sent := range slices.Backward(run.levels) {
+		risen := PartLevel{sent.Part, min(sent.Level+1, maxLevel), upstream}
+		if s.levels[sent.Part].Upstream == upstream || !s.raise(risen) {
+			continue
+		}
+		raised = append(raised, risen)
+		if risen.Level == s.limit {
+			maxLevel = s.limit - 1
 		}
 	}
 	return raised
 }
 
-// Raise raises the level of a part to at least the given one, and reports whether it was
-// lower.
-func (s *PartSuspects) Raise(p PartLevel) bool {
+// Raise raises the level of a part to at least the given one. It reports whether the part is
+// proven harmless here although one more crash would ban it elsewhere, so that others must
+// be told to clear it.
+func (s *PartSuspects) Raise(p PartLevel) (mustClear bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.raise(p)
+	return !s.raise(p) && s.isProven(p.Part) && p.Level >= s.limit-1
+}
+
+// isProven reports whether a part is proven harmless.
+func (s *PartSuspects) isProven(part Part) bool {
+	_, recently := s.proven[part]
+	_, before := s.before[part]
+	return recently || before
 }
 
+// prove records that a part is harmless.
+func (s *PartSuspects) prove(part Part) {
+	if _, ok := s.proven[part]; ok {
+		return
+	}
+	if len(s.proven) >= maxProven {
+		s.before, s.proven = s.proven, map[Part]struct{}{}
+	}
+	s.proven[part] = struct{}{}
+}
+
+// raise raises the level of a part, and reports whether it was lower.
 func (s *PartSuspects) raise(p PartLevel) bool {
+	if s.isProven(p.Part) {
+		return false
+	}
 	current, known := s.levels[p.Part]
 	if current.Level >= p.Level {
 		return false
@@ -108,15 +141,11 @@
 	s.parts = slices.Delete(s.parts, i, i+1)
 }
 
-// Served records that a request with these parts was answered completely, and clears their
-// levels. It returns the parts that other processes must clear too, since one more crash
+// Served records that a request with these parts was answered completely. It returns the parts that other processes must clear too, since one more crash
 // would have banned them.
 func (s *PartSuspects) Served(parts []Part) (cleared []PartLevel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.levels) == 0 {
-		return nil
-	}
 	for _, part := range parts {
 		if s.clear(part) >= s.limit-1 {
 			cleared = append(cleared, PartLevel{Part: part})
@@ -125,15 +154,16 @@
 	return cleared
 }
 
-// Clear clears the level of a part.
+// Clear records that a part is harmless, as another process has proved.
 func (s *PartSuspects) Clear(part Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clear(part)
 }
 
-// clear clears the level of a part and returns what it was.
+// clear records that a part is harmless and returns the level that it had.
 func (s *PartSuspects) clear(part Part) (level int) {
+	s.prove(part)
 	current, known := s.levels[part]
 	if known {
 		delete(s.levels, part)
--- a/kernel/kcrcrash/parts_test.go
+++ b/kernel/kcrcrash/parts_test.go
@@ -65,6 +65,9 @@
 		if isTold := len(cleared) > 0; isTold {
 			t.Errorf("crash %d: expected a level of 1 to be cleared here alone, got %v", i, cleared)
 		}
+		if mustClear := s.Raise(kcrcrash.PartLevel{Part: 7, Level: 2}); !mustClear {
+			t.Errorf("crash %d: expected others to be told that the part is harmless", i)
+		}
 		if isBanned(s, 7) {
 			t.Fatalf("crash %d: expected a part of served requests not to be banned", i)
 		}
@@ -122,3 +125,20 @@
 		t.Error("expected three upstreams to ban the part")
 	}
 }
+
+// Guards against a ban of the first part of all prompts of a kind, before one of them was
+// answered.
+func TestOnlyTheLastPartOfARunIsBanned(t *testing.T) {
+	t.Parallel()
+	s := kcrcrash.NewPartSuspects(3)
+	for i := range 3 {
+		s.Crashed(s.Sent([]kcrcrash.Part{7, 8}), upstream(i))
+	}
+	if isBanned(s, 7) || !isBanned(s, 8) {
+		t.Errorf("expected the last part alone to be banned, got %v", s.Banned())
+	}
+	s.Crashed(s.Sent([]kcrcrash.Part{7, 9}), upstream(3))
+	if !isBanned(s, 7) || isBanned(s, 9) {
+		t.Errorf("expected the first part to be banned after a crash without the last one, got %v", s.Banned())
+	}
+}
--- a/kernel/kcrcrash/storm_test.go
+++ b/kernel/kcrcrash/storm_test.go
@@ -58,9 +58,9 @@
 	return s
 }
 
-// play plays badPerSecond requests with the bad part a second, from 5 s on, among 150
-// others.
-func (s *storm) play(badPerSecond float64) {
+// play plays badPerSecond requests with the bad part a second, from 5 s on, among
+// soundPerSecond others.
+func (s *storm) play(badPerSecond, soundPerSecond float64) {
 	for ; s.now < stormLength; s.now++ {
 		s.deliver()
 		s.advance()
@@ -72,7 +72,7 @@
 		if s.rng.Float64() < 0.5/1000 {
 			s.crash(s.rng.IntN(stormEngines))
 		}
-		if s.rng.Float64() < 150.0/1000 {
+		if s.rng.Float64() < soundPerSecond/1000 {
 			s.send(s.soundParts())
 		}
 		if s.now > 5_000 && s.rng.Float64() < badPerSecond/1000 {
@@ -165,8 +165,8 @@
 				case i == r.from:
 				case level.Level == 0:
 					suspects.Clear(level.Part)
-				default:
-					suspects.Raise(level)
+				case suspects.Raise(level):
+					s.report(i, []kcrcrash.PartLevel{{Part: level.Part}})
 				}
 			}
 		}
@@ -178,9 +178,10 @@
 func TestStormOfCrashes(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(6) {
-		for _, badPerSecond := range []float64{0.5, 2, 8} {
+		for _, rates := range [][2]float64{{0.5, 150}, {2, 150}, {8, 150}, {2, 4}, {8, 4}} {
+			badPerSecond, soundPerSecond := rates[0], rates[1]
 			s := newStorm(seed)
-			s.play(badPerSecond)
+			s.play(badPerSecond, soundPerSecond)
 			late := 0
 			if len(s.badCrashes) >= 5 {
 				for _, at := range s.badSent {
@@ -190,13 +191,13 @@
 				}
 			}
 			if late > 3 || len(s.badCrashes) == 0 {
-				t.Errorf("seed %d, %v a second: expected at most 3 requests after the fifth crash, got %d (%d crashes)", seed, badPerSecond, late, len(s.badCrashes))
+				t.Errorf("seed %d, %v a second among %v: expected at most 3 requests after the fifth crash, got %d (%d crashes)", seed, badPerSecond, soundPerSecond, late, len(s.badCrashes))
 			}
 			if s.soundLost*100 > s.soundSent {
-				t.Errorf("seed %d, %v a second: expected under one in 100 sound requests refused, got %d of %d", seed, badPerSecond, s.soundLost, s.soundSent)
+				t.Errorf("seed %d, %v a second among %v: expected under one in 100 sound requests refused, got %d of %d", seed, badPerSecond, soundPerSecond, s.soundLost, s.soundSent)
 			}
 			if seed < 3 {
-				t.Logf("seed %d, %v a second: %d crashes, %d of %d sound requests refused", seed, badPerSecond, len(s.badCrashes), s.soundLost, s.soundSent)
+				t.Logf("seed %d, %v a second among %v: %d crashes, %d of %d sound requests refused", seed, badPerSecond, soundPerSecond, len(s.badCrashes), s.soundLost, s.soundSent)
 			}
 		}
 	}
--- a/kernel/kcrpeer/registry.go
+++ b/kernel/kcrpeer/registry.go
@@ -111,6 +111,13 @@
 	r.ready = true
 }
 
+// Ready reports whether MarkReady was called.
+func (r *Registry) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready
+}
+
 // Tick queues a Hello record of this router if one is due.
 func (r *Registry) Tick(now kcrclock.Time) {
 	r.mu.Lock()
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -118,15 +118,19 @@
 	if kcrid.Incarnation(e.GetWriter()) == n.self {
 		return
 	}
+	var cleared []kcrcrash.PartLevel
 	for _, p := range e.GetParts().GetParts() {
 		level := kcrcrash.PartLevel{Part: kcrcrash.Part(p.GetId()), Level: int(p.GetLevel()), Upstream: kcrid.Incarnation(p.GetServer())}
 		if level.Level == 0 {
 			n.partSuspects.Clear(level.Part)
-		} else {
-			n.partSuspects.Raise(level)
+		} else if n.partSuspects.Raise(level) {
+			cleared = append(cleared, kcrcrash.PartLevel{Part: level.Part})
 		}
 		n.logger.Info("part reported", "part", strconv.FormatUint(p.GetId(), 16), "level", level.Level, "by", e.GetWriter())
 	}
+	if len(cleared) > 0 && n.peers.Ready() {
+		n.reportParts(cleared)
+	}
 }
 
 // tellBannedParts tells a router that has joined which parts are banned, since the log may
