--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -67,7 +67,7 @@
 		return x.refuse(statusUnavailable, "the router stops", retryAfterShort)
 	}
 	if len(x.body) > 0 {
-		x.content = kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body)
+		x.content = x.contentHash()
 		if x.gateway.config.Crashes.Banned(x.content) {
 			return x.refuse(statusUnavailable, "the request crashes upstreams", retryAfterLong)
 		}
@@ -79,6 +79,11 @@
 	return true
 }
 
+// contentHash returns the hash of target, team and body.
+func (x *exchange) contentHash() kcrid.ContentHash {
+	return kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body)
+}
+
 // reasonBannedPart is the reason of a request whose prompt has a banned part.
 const reasonBannedPart = "a part of the prompt crashes upstreams"
 
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -144,9 +144,10 @@
 	if x.firstLatency > 0 {
 		m.firstLatency.WithLabelValues(kind).Observe(x.firstLatency.Seconds())
 	}
-	level := slog.LevelInfo
+	level, content := slog.LevelInfo, uint64(0)
 	if x.outcome != outcomeServed && x.outcome != outcomeCallerLeft {
 		level = slog.LevelWarn
+		content = uint64(x.contentHash())
 	}
 	version := uint64(0)
 	route := ""
@@ -158,7 +159,7 @@
 	}
 	x.gateway.logger.LogAttrs(logContext, level, "request",
 		slog.String("req", x.id), slog.String("team", x.teamName()), slog.String("route", route), slog.Uint64("config", version),
-		slog.String("service", string(x.service)), slog.String("outcome", x.outcome), slog.String("why", x.reason),
+		slog.String("service", string(x.service)), slog.String("outcome", x.outcome), slog.String("why", x.reason), slog.Uint64("content", content),
 		slog.Int64("ms", int64(duration)), slog.Int64("wait", int64(x.budgetWait)), slog.Int64("first", int64(x.firstLatency)), slog.Int("events", x.deliveredEvents), slog.Int64("pause", int64(x.longestGap)),
 		slog.Int64("prompt", int64(x.usage.prompt)), slog.Int64("spent", int64(x.spentTokens)), slog.String("tries", formatAttempts(x.attempts)))
 }
