--- a/router/kcrgateway/crash_test.go
+++ b/router/kcrgateway/crash_test.go
@@ -12,11 +12,11 @@
 	"time"
 )
 
-// These tests send requests with a part of a prompt that crashes each engine that begins
-// to answer it.
+// These tests send requests that crash each upstream that begins to answer them: by a part
+// of their prompt, or as a whole.
 
-// crashingEngines are engines that end when they begin to answer a request whose prompt
-// has the part "bad".
+// crashingEngines are upstreams that end when they begin to answer a request whose prompt
+// has the part "bad", or whose path contains "bad".
 type crashingEngines struct {
 	upstreams []*upstream
 	crashes   atomic.Int64
@@ -33,13 +33,18 @@
 			mu.Lock()
 			open[conn] = true
 			mu.Unlock()
-			if !strings.Contains(req.head.Get("X-Parts"), "bad:") {
+			isPlain := strings.HasPrefix(req.head.Target, "/once/") || strings.HasPrefix(req.head.Target, "/safe/")
+			switch isBad := strings.Contains(req.head.Get("X-Parts"), "bad:") || strings.Contains(req.head.Target, "bad"); {
+			case !isBad && isPlain:
+				return respond(conn, req.id(), "200 OK", "", "fine")
+			case !isBad:
 				writeStream(conn, req.id(), 1, 2)
 				_, err := io.WriteString(conn, "0\r\n\r\n")
 				return err == nil
+			case !isPlain:
+				writeStream(conn, req.id(), 1, 0)
 			}
 			e.crashes.Add(1)
-			writeStream(conn, req.id(), 1, 0)
 			_ = u.listener.Close()
 			mu.Lock()
 			defer mu.Unlock()
@@ -100,3 +105,28 @@
 		}
 	}
 }
+
+// maxCrashes is how many upstreams a request may crash before it is refused.
+const maxCrashes = 3
+
+// Guards against a request, always the same, that crashes one upstream after the other.
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
+		for _, body := range []string{"", "body"} {
+			engines := newCrashingEngines(t, 20)
+			gw := newTestGateway(t, engines.upstreams...)
+			status := 0
+			for i := range 12 {
+				if got := sendParts(t, gw, path+"fine", body, fmt.Sprintf("5a:30,%x:40", 0x1000+i)); got != 200 {
+					t.Errorf("%s, body %q: a sound request: expected 200, got %d", path, body, got)
+				}
+				status = sendParts(t, gw, path+"bad", body, "5a:30,50d:40")
+				time.Sleep(20 * time.Millisecond) // the end of the upstream is noticed
+			}
+			if got := engines.crashes.Load(); got > maxCrashes || status != 503 {
+				t.Errorf("%s, body %q: expected at most %d upstreams to crash and a refusal, got %d and status %d", path, body, maxCrashes, got, status)
+			}
+		}
+	}
+}
