Calls that crash upstreams are refused after three crashes, like streams

Cause: Gateway.probeForCrash was called for streams alone, and only requests with a body had a content hash, so no crash of a plain call was counted. Class: a guard that is bound to one kind of request instead of to what it guards. Ruled out: that the crash is not seen (in the record the connections are closed 51 to 117 ms after the run began, before the wait is over) and that the content differs (the test sends the same request and fails as the record does).

Change: the loss of any connection is checked for a crash, and every request has a content. Since calls without a body can be alike, a complete answer now proves a content harmless for good; others are told where one more crash would have banned it. Crashes count by incarnation, as an upstream may start again under its id. A router that joins is told the banned contents, as it is told the parts.

--- a/kernel/kcrcrash/counter.go
+++ b/kernel/kcrcrash/counter.go
@@ -2,57 +2,119 @@
 package kcrcrash
 
 import (
+	"slices"
 	"sync"
 
 	"kingcuprun.example/kernel/kcrid"
 )
 
 // This file counts crashes by the content of the request, which is a hash.
-// Invariant: a content that has crashed the maximum number of upstreams is refused
-// by every process that knows of these crashes. Callers report a broken connection
-// as a crash only if the upstream accepts no connection just after it; otherwise
-// only the connection was lost.
+// Invariants: a content that has crashed the maximum number of upstreams is refused
+// by every process that knows of these crashes; a content that was answered completely is
+// never refused again, whatever other processes report, since what was under way with it at
+// a crash was not its cause. Callers report a broken connection as a crash only if the
+// upstream accepts no connection just after it; otherwise only the connection was lost.
 
-// maxContents bounds the contents that are remembered; beyond it, the oldest is
-// forgotten.
+// maxContents bounds the contents that are remembered; beyond it, the oldest that is not
+// banned is forgotten.
 const maxContents = 8192
 
+// Crash is a crash of an upstream that ran a request with a content.
+type Crash struct {
+	Content  kcrid.ContentHash
+	Upstream kcrid.Incarnation
+}
+
 // Counter records which upstreams each content has crashed. It is safe for concurrent
 // use.
 type Counter struct {
 	limit int // number of crashed upstreams from which a content is banned
 
 	mu       sync.Mutex
-	crashes  map[kcrid.ContentHash]map[kcrid.VM]bool // the upstreams that each content crashed
-	contents []kcrid.ContentHash                     // keys of crashes, oldest first
+	crashes  map[kcrid.ContentHash][]kcrid.Incarnation // the upstreams that each content crashed
+	contents []kcrid.ContentHash                       // keys of crashes, oldest first
+	proven   provenSet[kcrid.ContentHash]              // contents that were answered completely
 }
 
 // New returns a counter without crashes. A content is banned once it has crashed limit
 // upstreams.
 func New(limit int) *Counter {
-	return &Counter{limit: limit, crashes: map[kcrid.ContentHash]map[kcrid.VM]bool{}}
+	return &Counter{limit: limit, crashes: map[kcrid.ContentHash][]kcrid.Incarnation{}, proven: newProvenSet[kcrid.ContentHash]()}
 }
 
 // RecordCrash records that an upstream crashed while it ran a request with the
-// content. It reports whether this was new: a content counts once per upstream.
-func (c *Counter) RecordCrash(h kcrid.ContentHash, vm kcrid.VM) bool {
+// content. It reports whether this counts: a content counts once per upstream, and not at
+// all if it is proven harmless.
+func (c *Counter) RecordCrash(crash Crash) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.proven.has(crash.Content) && c.record(crash)
+}
+
+// RecordReport records a crash that another process has reported. counted is the result
+// of RecordCrash. mustClear reports whether the content is proven harmless here although one
+// more crash would ban it elsewhere, so that others must be told to clear it.
+func (c *Counter) RecordReport(crash Crash) (counted, mustClear bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.crashes[h] == nil {
-		c.crashes[h] = map[kcrid.VM]bool{}
-		c.contents = append(c.contents, h)
+	isNew := c.record(crash)
+	if !c.proven.has(crash.Content) {
+		return isNew, false
 	}
-	if c.crashes[h][vm] {
+	if len(c.crashes[crash.Content]) < c.limit-1 {
+		return false, false
+	}
+	c.forget(crash.Content)
+	return false, true
+}
+
+// record adds a crash and reports whether it is new.
+func (c *Counter) record(crash Crash) bool {
+	upstreams, known := c.crashes[crash.Content]
+	if slices.Contains(upstreams, crash.Upstream) {
 		return false
 	}
-	c.crashes[h][vm] = true
+	if !known {
+		c.contents = append(c.contents, crash.Content)
+	}
+	c.crashes[crash.Content] = append(upstreams, crash.Upstream)
 	if len(c.contents) > maxContents {
-		delete(c.crashes, c.contents[0])
-		c.contents = c.contents[1:]
+		var forgotten kcrid.ContentHash
+		forgotten, c.contents = forgetOldest(c.contents, c.isBanned)
+		delete(c.crashes, forgotten)
 	}
 	return true
 }
 
+// forget removes the crashes of a content.
+func (c *Counter) forget(h kcrid.ContentHash) {
+	if _, known := c.crashes[h]; !known {
+		return
+	}
+	delete(c.crashes, h)
+	i := slices.Index(c.contents, h)
+	c.contents = slices.Delete(c.contents, i, i+1)
+}
+
+// RecordServed records that a request with the content was answered completely. It reports
+// whether others must be told to clear it, since one more crash would have banned it.
+func (c *Counter) RecordServed(h kcrid.ContentHash) (mustClear bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mustClear = len(c.crashes[h]) >= c.limit-1
+	c.forget(h)
+	c.proven.add(h)
+	return mustClear
+}
+
+// Clear records that a content is harmless, as another process has proved.
+func (c *Counter) Clear(h kcrid.ContentHash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(h)
+	c.proven.add(h)
+}
+
 // CrashedUpstreams returns the number of upstreams that a content has crashed.
 func (c *Counter) CrashedUpstreams(h kcrid.ContentHash) int {
 	c.mu.Lock()
@@ -61,4 +123,28 @@
 }
 
 // Banned reports whether requests with the content must be refused.
-func (c *Counter) Banned(h kcrid.ContentHash) bool { return c.CrashedUpstreams(h) >= c.limit }
+func (c *Counter) Banned(h kcrid.ContentHash) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isBanned(h)
+}
+
+func (c *Counter) isBanned(h kcrid.ContentHash) bool {
+	return len(c.crashes[h]) >= c.limit && !c.proven.has(h)
+}
+
+// BannedCrashes returns the crashes of all banned contents, as many as ban them, oldest
+// content first.
+func (c *Counter) BannedCrashes() (crashes []Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.contents {
+		if !c.isBanned(h) {
+			continue
+		}
+		for _, upstream := range c.crashes[h][:c.limit] {
+			crashes = append(crashes, Crash{h, upstream})
+		}
+	}
+	return crashes
+}
--- a/kernel/kcrcrash/parts.go
+++ b/kernel/kcrcrash/parts.go
@@ -37,9 +37,6 @@
 // forgotten, or the oldest of all if all are.
 const maxParts = 8192
 
-// maxProven bounds each of the two sets of parts that are proven harmless.
-const maxProven = 16384
-
 // PartSuspects holds the levels of parts. It is safe for concurrent use.
 type PartSuspects struct {
 	limit int // level from which a part is banned
@@ -47,14 +44,12 @@
 	mu     sync.Mutex
 	levels map[Part]PartLevel
 	parts  []Part // keys of levels, oldest first
-	// proven holds the parts that were proven harmless since it was last full, before those
-	// of the time before that.
-	proven, before map[Part]struct{}
+	proven provenSet[Part]
 }
 
 // NewPartSuspects returns suspects without any part. A part is banned from level limit on.
 func NewPartSuspects(limit int) *PartSuspects {
-	return &PartSuspects{limit: limit, levels: map[Part]PartLevel{}, proven: map[Part]struct{}{}}
+	return &PartSuspects{limit: limit, levels: map[Part]PartLevel{}, proven: newProvenSet[Part]()}
 }
 
 // Sent records that a request with these parts is sent to an upstream.
@@ -93,30 +88,12 @@
 func (s *PartSuspects) Raise(p PartLevel) (mustClear bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.raise(p) && s.isProven(p.Part) && p.Level >= s.limit-1
-}
-
-// isProven reports whether a part is proven harmless.
-func (s *PartSuspects) isProven(part Part) bool {
-	_, recently := s.proven[part]
-	_, before := s.before[part]
-	return recently || before
-}
-
-// prove records that a part is harmless.
-func (s *PartSuspects) prove(part Part) {
-	if _, ok := s.proven[part]; ok {
-		return
-	}
-	if len(s.proven) >= maxProven {
-		s.before, s.proven = s.proven, map[Part]struct{}{}
-	}
-	s.proven[part] = struct{}{}
+	return !s.raise(p) && s.proven.has(p.Part) && p.Level >= s.limit-1
 }
 
 // raise raises the level of a part, and reports whether it was lower.
 func (s *PartSuspects) raise(p PartLevel) bool {
-	if s.isProven(p.Part) {
+	if s.proven.has(p.Part) {
 		return false
 	}
 	current, known := s.levels[p.Part]
@@ -128,21 +105,15 @@
 	}
 	s.levels[p.Part] = p
 	if len(s.levels) > maxParts {
-		s.forgetOldest()
+		var forgotten Part
+		forgotten, s.parts = forgetOldest(s.parts, func(part Part) bool { return s.levels[part].Level >= s.limit })
+		delete(s.levels, forgotten)
 	}
 	return true
 }
 
-// forgetOldest forgets one part.
-func (s *PartSuspects) forgetOldest() {
-	i := slices.IndexFunc(s.parts, func(part Part) bool { return s.levels[part].Level < s.limit })
-	i = max(i, 0)
-	delete(s.levels, s.parts[i])
-	s.parts = slices.Delete(s.parts, i, i+1)
-}
-
-// Served records that a request with these parts was answered completely. It returns the parts that other processes must clear too, since one more crash
-// would have banned them.
+// Served records that a request with these parts was answered completely. It returns the
+// parts that other processes must clear too, since one more crash would have banned them.
 func (s *PartSuspects) Served(parts []Part) (cleared []PartLevel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,7 +134,7 @@
 
 // clear records that a part is harmless and returns the level that it had.
 func (s *PartSuspects) clear(part Part) (level int) {
-	s.prove(part)
+	s.proven.add(part)
 	current, known := s.levels[part]
 	if known {
 		delete(s.levels, part)
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -13,7 +13,6 @@
 	"kingcuprun.example/kernel/kcrcrash"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrplacement"
-	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrhttp"
 )
 
@@ -107,8 +106,8 @@
 	if x.interrupted() {
 		return nil, stateMayHaveRun, x.interruptReason()
 	}
-	if x.hasBannedPart() {
-		return nil, stateNotRun, reasonBannedPart
+	if reason = x.banReason(); reason != "" {
+		return nil, stateNotRun, reason
 	}
 	choice := x.gateway.table.Choose(x.gateway.clock.Now(), x.placementRequest())
 	if choice == nil {
@@ -284,7 +283,7 @@
 		reason += ", on a kept connection"
 	}
 	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started)})
-	if result == kcrplacement.ConnectionLost && x.route.Kind == kcrrule.Stream && (x.content != 0 || len(x.usage.sharedParts) > 0) {
+	if result == kcrplacement.ConnectionLost {
 		g.probeForCrash(a)
 	}
 }
@@ -368,12 +367,13 @@
 		if !unreachable(choice.Addr) {
 			return
 		}
-		if content != 0 && g.config.Crashes.RecordCrash(content, choice.ID) {
+		upstream := kcrid.IncarnationOf(choice.ID, strconv.FormatInt(choice.StartedAt, 10))
+		if crash := (kcrcrash.Crash{Content: content, Upstream: upstream}); g.config.Crashes.RecordCrash(crash) {
 			g.logger.Info("crash", "content", uint64(content), "id", string(choice.ID), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
-			g.config.OnCrash(content, choice.ID)
+			g.config.OnCrash(crash)
 		}
 		if events == 0 {
-			g.raiseParts(suspects, kcrid.IncarnationOf(choice.ID, strconv.FormatInt(choice.StartedAt, 10)))
+			g.raiseParts(suspects, upstream)
 		}
 	}
 	if events == 0 {
@@ -396,8 +396,13 @@
 	g.config.OnPartLevels(raised)
 }
 
-// clearParts records that a request was answered completely.
-func (x *exchange) clearParts() {
+// clearSuspicions records that a request was answered completely: neither it nor a part of its
+// prompt crashes upstreams.
+func (x *exchange) clearSuspicions() {
+	if x.gateway.config.Crashes.RecordServed(x.content) {
+		x.gateway.logger.Info("content cleared", "content", uint64(x.content), "req", x.id)
+		x.gateway.config.OnContentCleared(x.content)
+	}
 	cleared := x.gateway.config.PartSuspects.Served(x.usage.sharedParts)
 	if len(cleared) == 0 {
 		return
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -148,7 +148,7 @@
 	spentTokens       kcrid.Tokens      // charged to the team's budget
 	budgetWait        kcrclock.Duration // until the budget was reserved or refused
 	deadline          kcrclock.Time
-	content           kcrid.ContentHash // hash of target, team and body, 0 without a body
+	content           kcrid.ContentHash // hash of target, team and body, 0 before admission
 	attempts          []attemptRecord   // ended attempts, in order
 	runs              int               // attempts whose request was written at least in part
 	firstLatency      kcrclock.Duration // until the response or the first event, 0 before
--- a/router/kcrgateway/crash_test.go
+++ b/router/kcrgateway/crash_test.go
@@ -20,6 +20,7 @@
 type crashingEngines struct {
 	upstreams []*upstream
 	crashes   atomic.Int64
+	endNext   atomic.Bool // the next request ends its upstream, whatever it is
 }
 
 func newCrashingEngines(t *testing.T, n int) *crashingEngines {
@@ -34,7 +35,7 @@
 			open[conn] = true
 			mu.Unlock()
 			isPlain := strings.HasPrefix(req.head.Target, "/once/") || strings.HasPrefix(req.head.Target, "/safe/")
-			switch isBad := strings.Contains(req.head.Get("X-Parts"), "bad:") || strings.Contains(req.head.Target, "bad"); {
+			switch isBad := e.endNext.Swap(false) || strings.Contains(req.head.Get("X-Parts"), "bad:") || strings.Contains(req.head.Target, "bad"); {
 			case !isBad && isPlain:
 				return respond(conn, req.id(), "200 OK", "", "fine")
 			case !isBad:
@@ -130,3 +131,26 @@
 		}
 	}
 }
+
+// Guards against a ban of a request that is answered, but was under way at unrelated crashes.
+func TestSoundRequestIsServedAfterUnrelatedCrashes(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/once/fine", "/safe/fine", "/stream/fine", "/resume/fine"} {
+		engines := newCrashingEngines(t, 16)
+		gw := newTestGateway(t, engines.upstreams...)
+		send := func() int { return sendParts(t, gw, path, "", "5a:30,50d:40") }
+		for range 3 {
+			if got := send(); got != 200 {
+				t.Fatalf("%s after %d crashes: expected 200, got %d", path, engines.crashes.Load(), got)
+			}
+			for range 4 {
+				engines.endNext.Store(true)
+				send()
+				time.Sleep(20 * time.Millisecond) // the end of the upstream is noticed
+			}
+		}
+		if got := engines.crashes.Load(); got != 12 {
+			t.Errorf("%s: expected 8 crashes, got %d", path, got)
+		}
+	}
+}
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -66,9 +66,10 @@
 	// RouterCount returns the number of routers that share the retry budget, 0 if it
 	// is unknown.
 	RouterCount func() int
-	// OnCrash is called when a request content has crashed an upstream for the
-	// first time.
-	OnCrash func(content kcrid.ContentHash, vm kcrid.VM)
+	// OnCrash is called with each crash that Crashes counts.
+	OnCrash func(kcrcrash.Crash)
+	// OnContentCleared is called with a content of Crashes that other routers must clear.
+	OnContentCleared func(kcrid.ContentHash)
 	// OnPartLevels is called with the levels of PartSuspects that other routers must know.
 	OnPartLevels func([]kcrcrash.PartLevel)
 }
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -159,7 +159,6 @@
 	gateway *kcrgateway.Gateway
 	budget  *fakeBudget
 	table   *kcrplacement.Table
-	crashes *kcrcrash.Counter
 }
 
 const host = "h.example"
@@ -179,7 +178,7 @@
 func newTestGatewayAt(t *testing.T, addr string, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
 	t.Helper()
 	clock := kcrclock.Monotonic()
-	gw := &testGateway{budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights()), crashes: kcrcrash.New(2)}
+	gw := &testGateway{budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights())}
 	rules := kcrrule.NewActiveRules(kcrrule.Newer)
 	route := func(prefix string, kind kcrrule.RouteKind, maxRuns int, resumable bool) kcrrule.Route {
 		return kcrrule.Route{
@@ -201,10 +200,10 @@
 	gw.table.Update(clock.Now(), members)
 	g, err := kcrgateway.New(kcrgateway.Config{
 		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
+		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: kcrcrash.New(maxCrashes),
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle},
 		Retries:     retries,
-		RouterCount: func() int { return 1 }, OnCrash: func(kcrid.ContentHash, kcrid.VM) {},
+		RouterCount: func() int { return 1 }, OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
 		PartSuspects: kcrcrash.NewPartSuspects(3), OnPartLevels: func([]kcrcrash.PartLevel) {},
 	})
 	if err != nil {
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -171,6 +171,9 @@
 	} else {
 		a.end(kcrplacement.Served, "")
 	}
+	if a.head.Status < 300 {
+		x.clearSuspicions()
+	}
 	x.writeResponse(a.head, body)
 	return ""
 }
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -66,14 +66,9 @@
 	if x.gateway.stopping.Load() && !x.endsBeforeStop() {
 		return x.refuse(statusUnavailable, "the router stops", retryAfterShort)
 	}
-	if len(x.body) > 0 {
-		x.content = x.contentHash()
-		if x.gateway.config.Crashes.Banned(x.content) {
-			return x.refuse(statusUnavailable, "the request crashes upstreams", retryAfterLong)
-		}
-	}
-	if x.hasBannedPart() {
-		return x.refuse(statusUnavailable, reasonBannedPart, retryAfterLong)
+	x.content = x.contentHash()
+	if reason := x.banReason(); reason != "" {
+		return x.refuse(statusUnavailable, reason, retryAfterLong)
 	}
 	x.gateway.retryWindow(x.service).RecordRequest(x.started)
 	return true
@@ -84,13 +79,15 @@
 	return kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body)
 }
 
-// reasonBannedPart is the reason of a request whose prompt has a banned part.
-const reasonBannedPart = "a part of the prompt crashes upstreams"
-
-// hasBannedPart reports whether the prompt has a part that crashes upstreams.
-func (x *exchange) hasBannedPart() bool {
-	_, banned := x.gateway.config.PartSuspects.FindBanned(x.usage.sharedParts)
-	return banned
+// banReason returns why the request must not run since it crashes upstreams, "" if it may.
+func (x *exchange) banReason() string {
+	if x.gateway.config.Crashes.Banned(x.content) {
+		return "the request crashes upstreams"
+	}
+	if _, banned := x.gateway.config.PartSuspects.FindBanned(x.usage.sharedParts); banned {
+		return "a part of the prompt crashes upstreams"
+	}
+	return ""
 }
 
 // matchRoute finds the route and the team, and requires a request ID.
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -147,7 +147,7 @@
 	level, content := slog.LevelInfo, uint64(0)
 	if x.outcome != outcomeServed && x.outcome != outcomeCallerLeft {
 		level = slog.LevelWarn
-		content = uint64(x.contentHash())
+		content = uint64(x.content)
 	}
 	version := uint64(0)
 	route := ""
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -104,7 +104,7 @@
 	reason = s.forwardEvents(a)
 	if reason == "" {
 		a.end(kcrplacement.Served, "")
-		x.clearParts()
+		x.clearSuspicions()
 		s.finish(a)
 		return ""
 	}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -141,7 +141,7 @@
 	}
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
-		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnCrash: n.reportCrash,
+		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle},
 	})
@@ -173,9 +173,16 @@
 }
 
 // reportCrash tells the other routers that a request crashed an upstream.
-func (n *Node) reportCrash(content kcrid.ContentHash, vm kcrid.VM) {
+func (n *Node) reportCrash(c kcrcrash.Crash) { n.reportSuspect(c.Content, c.Upstream) }
+
+// reportCleared tells the other routers that a request content is harmless.
+func (n *Node) reportCleared(content kcrid.ContentHash) { n.reportSuspect(content, "") }
+
+// reportSuspect tells the other routers of a crash, or without an upstream that the content
+// is harmless.
+func (n *Node) reportSuspect(content kcrid.ContentHash, upstream kcrid.Incarnation) {
 	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Suspect{Suspect: &kcrentry.Suspect{
-		Content: uint64(content), Server: string(vm),
+		Content: uint64(content), Server: string(upstream),
 	}}})
 	n.peerFollower.Wake()
 }
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -94,22 +94,35 @@
 	n.peerFollower = kcrdaemon.NewFollower(c.Log, kcrid.PeerStream, kcrdaemon.StateMachine{
 		Apply: func(off kcrid.Offset, e *kcrentry.Entry) {
 			if joined := n.peers.Apply(n.clock.Now(), off, e); joined {
-				n.tellBannedParts()
+				n.tellBans()
 			}
 			n.applyParts(e)
-			if s := e.GetSuspect(); s != nil {
-				n.applySuspect(kcrid.ContentHash(s.GetContent()), kcrid.VM(s.GetServer()), e.GetWriter())
-			}
+			n.applySuspect(e)
 		},
 		Offset: n.peers.At, Batch: n.peers.Batch, MarkReady: n.peers.MarkReady, AllowsGaps: true,
 		ReadDelay: func() time.Duration { return peerReadInterval },
 	}, c.Logger, c.SnapshotInterval.Std())
 }
 
-// applySuspect counts a crash that a router has reported.
-func (n *Node) applySuspect(content kcrid.ContentHash, vm kcrid.VM, writer string) {
-	if n.crashes.RecordCrash(content, vm) {
-		n.logger.Info("crash reported", "content", uint64(content), "id", string(vm), "count", n.crashes.CrashedUpstreams(content), "by", writer)
+// applySuspect applies what another router has reported of a request content: a crash, or
+// that it is harmless.
+func (n *Node) applySuspect(e *kcrentry.Entry) {
+	s := e.GetSuspect()
+	if s == nil || kcrid.Incarnation(e.GetWriter()) == n.self {
+		return
+	}
+	crash := kcrcrash.Crash{Content: kcrid.ContentHash(s.GetContent()), Upstream: kcrid.Incarnation(s.GetServer())}
+	if crash.Upstream == "" {
+		n.crashes.Clear(crash.Content)
+		n.logger.Info("content cleared by another router", "content", s.GetContent(), "by", e.GetWriter())
+		return
+	}
+	counted, mustClear := n.crashes.RecordReport(crash)
+	if counted {
+		n.logger.Info("crash reported", "content", s.GetContent(), "id", s.GetServer(), "count", n.crashes.CrashedUpstreams(crash.Content), "by", e.GetWriter())
+	}
+	if mustClear && n.peers.Ready() {
+		n.reportCleared(crash.Content)
 	}
 }
 
@@ -133,19 +146,22 @@
 	}
 }
 
-// tellBannedParts tells a router that has joined which parts are banned, since the log may
-// have deleted the records. A few routers do it.
-func (n *Node) tellBannedParts() {
-	if n.peers.Rank(n.clock.Now(), string(kcrid.PeerStream)) >= bannedPartTellers {
+// tellBans tells a router that has joined which contents and parts are banned, since the log
+// may have deleted the records. A few routers do it.
+func (n *Node) tellBans() {
+	if n.peers.Rank(n.clock.Now(), string(kcrid.PeerStream)) >= banTellers {
 		return
 	}
+	for _, crash := range n.crashes.BannedCrashes() {
+		n.reportCrash(crash)
+	}
 	if banned := n.partSuspects.Banned(); len(banned) > 0 {
 		n.reportParts(banned)
 	}
 }
 
-// bannedPartTellers is how many routers tell one that has joined which parts are banned.
-const bannedPartTellers = 2
+// banTellers is how many routers tell one that has joined what is banned.
+const banTellers = 2
 
 // peerReadInterval is the time between two reads of the peer stream.
 const peerReadInterval = 300 * time.Millisecond
