--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -224,6 +224,7 @@
 // than the current one. A version that is not newer is ignored without an error.
 func (n *Node) ApplyConfig(raw []byte) (err error) {
 	defer kcrerror.Annotate(&err, "configuration")
+	started := n.clock.Now()
 	r, err := n.parseRules(raw)
 	if err != nil {
 		return err
@@ -233,9 +234,10 @@
 		n.logger.Info("configuration ignored: not newer than the one in force", "version", r.Version, "inforce", n.rules.Rules().Version)
 		return nil
 	}
-	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services))
 	n.updateUpstreams()
 	n.publishLimits()
+	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services),
+		"bytes", len(raw), "ms", int64(n.clock.Now().Sub(started)))
 	return nil
 }
 
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -180,7 +180,11 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lists{Lists: &kcrwire.Lists{At: n.configVersion()}}})
-	if err != nil || len(reply.GetListed().GetState()) == 0 {
+	if err != nil {
+		n.logger.Info("configuration not learned from a peer", "peer", addr, "err", err.Error())
+		return
+	}
+	if len(reply.GetListed().GetState()) == 0 {
 		return
 	}
 	var state peerState
