A reply of a peer that arrives slowly is not given up while it makes progress

Cause: the same as at the store: 300 ms for the whole reply, which has 380 KB, where they are meant for a peer that does not answer. And a session passes on a frame of up to 256 KB only when all of it has arrived, so that a reader could not see its progress.

Change: Pool.Call bounds the beginning of a reply, kcrtransfer.Conn the rest; messages are sent in frames of 16 KB.

Evidence: TestLargeConfigurationFromPeerOverThinLink failed (nothing within 3 s), passes now, three times of three.

--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcuprun.example/kernel/kcrerror"
+	"kingcuprun.example/link/kcrtransfer"
 	"kingcuprun.example/link/kcrwire"
 )
 
@@ -66,10 +68,29 @@
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err = protodelim.MarshalTo(s.conn, m)
+	_, err = protodelim.MarshalTo(frameWriter{s.conn}, m)
 	return s.callError(err)
 }
 
+// maxFrame is the maximum size of a frame of a session, in bytes. A session passes on a frame
+// when all of it has arrived, so smaller frames show the progress of a large message.
+const maxFrame = 16 << 10
+
+// frameWriter writes frames of at most maxFrame bytes.
+type frameWriter struct{ w io.Writer }
+
+// Write implements io.Writer.
+func (f frameWriter) Write(b []byte) (n int, err error) {
+	for frame := range slices.Chunk(b, maxFrame) {
+		written, err := f.w.Write(frame)
+		n += written
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // callError returns an error that wraps ErrNotSent for a stream that the peer has reset
 // before it sent anything, or that was closed before all of the request was sent. It
 // returns any other error as it is.
@@ -96,6 +117,13 @@
 	return nil
 }
 
+// extendRecvDeadlines makes a deadline of Recv hold for the beginning of the message; see
+// kcrtransfer.Conn. It must be called before the first Recv.
+func (s *Stream) extendRecvDeadlines() {
+	s.conn = kcrtransfer.New(s.conn, MaxMessage)
+	s.reader = bufio.NewReader(s.conn)
+}
+
 // SetRecvDeadline sets the deadline of Recv. The zero time removes it.
 func (s *Stream) SetRecvDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
 
@@ -397,8 +425,9 @@
 	return stream, nil
 }
 
-// Call starts a call to a peer, waits for its reply until the deadline of the context,
-// and ends the call. An error in the reply is returned as an error.
+// Call starts a call to a peer, waits until the deadline of the context for its reply to
+// begin, and for the rest as long as it arrives, and ends the call. An error in the reply is
+// returned as an error.
 func (p *Pool) Call(ctx context.Context, addr string, req *kcrwire.Request) (reply *kcrwire.Reply, err error) {
 	stream, err := p.Open(ctx, addr, req)
 	if err != nil {
@@ -407,6 +436,7 @@
 	defer func() { _ = stream.Close() }()
 	defer kcrerror.Annotate(&err, "reply of %s", addr)
 	if deadline, ok := ctx.Deadline(); ok {
+		stream.extendRecvDeadlines()
 		if err := stream.SetRecvDeadline(deadline); err != nil {
 			return nil, err
 		}
