Test of late streams in a stop: the stop does not begin before a connection is accepted

The test called Stop just after it had opened a connection. Where Stop came before the gateway had accepted it, no connection was open, the stop was over at once, and the next dial met a closed listener. That is what a stop without connections promises, so the test was wrong. Now a request is in progress as the stop begins, until the connections that the test goes on with are accepted.

--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -142,7 +142,11 @@
 // slower than estimated.
 func TestStopTakesNoStreamThatMayOutlastIt(t *testing.T) {
 	t.Parallel()
+	held := make(chan struct{}) // holds back a request that keeps the stop going until others are accepted
 	u := newUpstream(t, "u", func(_ int, req request, conn net.Conn) bool {
+		if strings.Contains(req.head.Target, "held") {
+			<-held
+		}
 		writeStream(conn, req.id(), 1, 1)
 		_, err := io.WriteString(conn, kcrhttp.LastChunk)
 		return err == nil
@@ -151,6 +155,9 @@
 	const late = 3100 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), late+time.Second)
 	defer cancel()
+	_, heldRequest := newRequest("/stream/held", "", "body")
+	_, _ = io.WriteString(dial(t, gw), heldRequest)
+	waitFor(t, "a request is in progress", func() bool { return gw.gateway.ActiveRequests() == 1 })
 	conn := dial(t, gw)
 	go gw.gateway.Stop(ctx, 0)
 	status := func(conn net.Conn) int {
@@ -167,6 +174,7 @@
 	if got := status(conn); got != 200 {
 		t.Errorf("at the begin of the stop: expected 200, got %d", got)
 	}
+	time.AfterFunc(400*time.Millisecond, func() { close(held) })
 	for time.Since(began) < late { // a connection that is new keeps the stop going
 		time.Sleep(200 * time.Millisecond)
 		next = dial(t, gw)
