Rate limits that upstreams name are logged

The gateway now reads it from each answer that is surely of the upstream, and logs a change. Nothing is decided by it.

--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -136,6 +136,7 @@
 	latencyAt    kcrclock.Time       // of the last sample
 	warmAt       kcrclock.Time       // end of the slow time after a start
 	cachedParts  map[uint64]struct{} // IDs of the parts that it is assumed to have cached
+	rateLimit    RateLimit           // as it named it last
 }
 
 // service holds the upstreams of one service.
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -209,11 +210,30 @@
 			continue
 		}
 		a.head, a.body = head, body
+		if echoedID != "" && head.Status != statusMisdirected {
+			a.recordRateLimit()
+		}
 		return a.classifyResponse(echoedID)
 	}
 	return stateMayHaveRun, "answers to other requests"
 }
 
+// recordRateLimit records the limit that the response names, or that it names none. A value
+// that is no rate is ignored.
+func (a *attempt) recordRateLimit() {
+	limit, value := kcrplacement.RateLimit{}, a.head.Get(a.x.gateway.headerNames.RateLimit)
+	if value != "" {
+		rate, err := strconv.ParseFloat(value, 64)
+		if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+			return
+		}
+		limit = kcrplacement.RateLimit{Named: true, PerSecond: rate}
+	}
+	if a.choice.RateLimitNamed(limit) {
+		a.x.gateway.logger.Info("rate limit of upstream", "id", string(a.choice.ID), "named", limit.Named, "rate", limit.PerSecond, "req", a.x.id)
+	}
+}
+
 // unreachable reports whether an upstream accepts no connection. A busy upstream
 // still accepts one.
 func unreachable(addr string) bool {
--- a/router/kcrgateway/header_names.go
+++ b/router/kcrgateway/header_names.go
@@ -20,6 +20,7 @@
 	Signature      string // an upstream's signature of its response
 	NotRun         string // present if the upstream did not run the request
 	RetryAfter     string // seconds until the caller may retry
+	RateLimit      string // requests per second that the upstream takes from all routers together
 	Priority       string // scheduling priority at an engine, 0 is served first
 	// InternalFields holds further fields that only the system may set.
 	InternalFields []string
