Requests to upstreams that name a rate limit take permits

What callers saw: nothing at first; two engines that asked for 2.9 requests a second got 29 and 37 in 4 s where 22 are allowed (LIMIT).

Cause: nothing kept the limit that an engine names. Class: a promise of the other side's protocol that is not read. Ruled out: that each router kept it for itself, or too late; the code did not name it.

Change: each request to an upstream with a limit takes a permit from one process, the home beside it (a token bucket, kernel/kcrpermit).

--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -72,6 +72,7 @@
 	PromptTokens  kcrid.Tokens // length of the whole prompt
 	TransferBytes int          // size of the request and its response
 	Excluded      []kcrid.VM   // upstreams of earlier attempts, which are not chosen again
+	Unlimited     bool         // upstreams with a rate limit are not chosen
 }
 
 // Result says how an attempt at an upstream ended.
@@ -137,6 +138,8 @@
 	warmAt       kcrclock.Time       // end of the slow time after a start
 	cachedParts  map[uint64]struct{} // IDs of the parts that it is assumed to have cached
 	rateLimit    RateLimit           // as it named it last
+
+	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 }
 
 // service holds the upstreams of one service.
@@ -265,15 +268,20 @@
 	UncachedTokens  kcrid.Tokens      // prompt tokens that are expected not to be cached
 	ExpectedLatency kcrclock.Duration // until the first event of the response
 
-	service *service
-	state   *upstream
-	pending kcrid.Tokens // tokens that this request still adds to the backlog
-	started kcrclock.Time
+	// RateLimit is the limit that the upstream has named. If there is one, Permitted must be
+	// called before the request is sent, or else Withheld.
+	RateLimit RateLimit
+
+	service     *service
+	state       *upstream
+	promptParts []PromptPart
+	pending     kcrid.Tokens // tokens that this request still adds to the backlog
+	started     kcrclock.Time
 }
 
 // Choose picks the upstream with the lowest cost and counts the request as in
 // flight there. It returns nil if the service has no upstream besides those
-// already tried. An upstream in cooldown is chosen only if there is no other.
+// already tried or have no room. An upstream in cooldown is chosen only if there is no other.
 func (t *Table) Choose(now kcrclock.Time, req Request) *Choice {
 	s := t.getOrCreateService(req.Service)
 	s.mu.Lock()
@@ -284,7 +292,7 @@
 	s.rotation++
 	for i := range s.upstreams {
 		u := s.upstreams[(i+s.rotation)%len(s.upstreams)]
-		if contains(req.Excluded, u.ID) {
+		if contains(req.Excluded, u.ID) || u.isWithheld(now) || req.Unlimited && u.rateLimit.Named {
 			continue
 		}
 		cost, uncached := t.cost(now, s, u, req, u == preferred)
@@ -300,10 +308,12 @@
 	}
 	best.inflight++
 	best.backlog += bestUncached
-	best.recordCached(req.PromptParts)
+	if !best.rateLimit.Named {
+		best.recordCached(req.PromptParts)
+	}
 	return &Choice{
-		Upstream: best.Upstream, UncachedTokens: bestUncached, ExpectedLatency: expectedLatency(best, bestUncached),
-		service: s, state: best, pending: bestUncached, started: now,
+		Upstream: best.Upstream, UncachedTokens: bestUncached, ExpectedLatency: expectedLatency(best, bestUncached), RateLimit: best.rateLimit,
+		service: s, state: best, promptParts: req.PromptParts, pending: bestUncached, started: now,
 	}
 }
 
@@ -326,7 +336,7 @@
 }
 
 // preferred returns the upstream that all routers prefer for the longest shared
-// prefix, by rendezvous hashing over those that are not in cooldown. It returns
+// prefix, by rendezvous hashing over those without a rate limit that are not in cooldown. It returns
 // nil for a request that shares nothing.
 func (s *service) preferred(now kcrclock.Time, req Request) (best *upstream) {
 	if len(req.PromptParts) < 2 {
@@ -335,7 +345,7 @@
 	lastShared := req.PromptParts[len(req.PromptParts)-2].ID
 	highest, longPool := uint64(0), s.usesLongPool(&req)
 	for _, u := range s.upstreams {
-		if h := mix(lastShared ^ u.hash); h >= highest && now >= u.retryAt && u.longPool == longPool {
+		if h := mix(lastShared ^ u.hash); h >= highest && now >= u.retryAt && u.longPool == longPool && !u.rateLimit.Named {
 			best, highest = u, h
 		}
 	}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -110,9 +110,9 @@
 	if reason = x.banReason(); reason != "" {
 		return nil, stateNotRun, reason
 	}
-	choice := x.gateway.table.Choose(x.gateway.clock.Now(), x.placementRequest())
+	choice := x.chooseUpstream()
 	if choice == nil {
-		return nil, stateNotRun, "no upstream"
+		return nil, stateNotRun, x.noUpstreamReason()
 	}
 	a = &attempt{x: x, choice: choice, suspects: x.gateway.config.PartSuspects.Sent(x.usage.sharedParts)}
 	if reason = a.connect(); reason != "" {
@@ -131,6 +131,47 @@
 	return a, stateOK, ""
 }
 
+// maxPermitRequests is how many permits are asked for before upstreams with a rate limit are
+// left out.
+const maxPermitRequests = 3
+
+// chooseUpstream chooses an upstream and takes a permit if it has a rate limit. It returns nil
+// if no upstream is left.
+func (x *exchange) chooseUpstream() *kcrplacement.Choice {
+	g, req := x.gateway, x.placementRequest()
+	for asked := 0; ; asked++ {
+		req.Unlimited = asked == maxPermitRequests
+		choice := g.table.Choose(g.clock.Now(), req)
+		if choice == nil || !choice.RateLimit.Named {
+			return choice
+		}
+		granted, wait := g.config.TakePermit(incarnationOf(choice), choice.RateLimit.PerSecond)
+		g.metrics.permits.WithLabelValues(string(x.service), strconv.FormatBool(granted)).Inc()
+		if granted {
+			choice.Permitted()
+			return choice
+		}
+		choice.Withheld(g.clock.Now().Add(wait))
+	}
+}
+
+// reasonLimited is the reason of a request for which the rate limits of the upstreams leave no
+// room.
+const reasonLimited = "the rate limits of the upstreams leave no room"
+
+// noUpstreamReason returns why there is no upstream for an attempt.
+func (x *exchange) noUpstreamReason() string {
+	if x.gateway.table.HasLimited(x.service) {
+		return reasonLimited
+	}
+	return "no upstream"
+}
+
+// incarnationOf returns the incarnation of a chosen upstream.
+func incarnationOf(choice *kcrplacement.Choice) kcrid.Incarnation {
+	return kcrid.IncarnationOf(choice.ID, strconv.FormatInt(choice.StartedAt, 10))
+}
+
 // connect takes a pooled connection or opens a new one. It returns the reason of
 // a failure, or "".
 func (a *attempt) connect() (reason string) {
@@ -387,7 +428,7 @@
 		if !unreachable(choice.Addr) {
 			return
 		}
-		upstream := kcrid.IncarnationOf(choice.ID, strconv.FormatInt(choice.StartedAt, 10))
+		upstream := incarnationOf(choice)
 		if crash := (kcrcrash.Crash{Content: content, Upstream: upstream}); g.config.Crashes.RecordCrash(crash) {
 			g.logger.Info("crash", "content", uint64(content), "id", string(choice.ID), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
 			g.config.OnCrash(crash)
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -66,6 +66,10 @@
 	// RouterCount returns the number of routers that share the retry budget, 0 if it
 	// is unknown.
 	RouterCount func() int
+	// TakePermit takes a permit for one request to an upstream that has named a rate limit, in
+	// requests per second. If there is none, it returns the time until it is worth asking again.
+	// It may block for a moment.
+	TakePermit func(upstream kcrid.Incarnation, rate float64) (granted bool, wait kcrclock.Duration)
 	// OnCrash is called with each crash that Crashes counts.
 	OnCrash func(kcrcrash.Crash)
 	// OnContentCleared is called with a content of Crashes that other routers must clear.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -159,6 +159,8 @@
 	gateway *kcrgateway.Gateway
 	budget  *fakeBudget
 	table   *kcrplacement.Table
+
+	takePermit atomic.Value // of type func(kcrid.Incarnation, float64) (bool, kcrclock.Duration)
 }
 
 const host = "h.example"
@@ -203,7 +205,13 @@
 		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: kcrcrash.New(maxCrashes),
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle},
 		Retries:     retries,
-		RouterCount: func() int { return 1 }, OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
+		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, rate float64) (bool, kcrclock.Duration) {
+			if take := gw.takePermit.Load(); take != nil {
+				return take.(func(kcrid.Incarnation, float64) (bool, kcrclock.Duration))(upstream, rate)
+			}
+			return true, 0
+		},
+		OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
 		PartSuspects: kcrcrash.NewPartSuspects(3), OnPartLevels: func([]kcrcrash.PartLevel) {},
 	})
 	if err != nil {
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -11,6 +11,7 @@
 	firstLatency *prometheus.HistogramVec // until the response or its first event
 	totalLatency *prometheus.HistogramVec // until the end of the response
 	dials        prometheus.Counter       // new connections to upstreams
+	permits      *prometheus.CounterVec   // asked for, by service and whether they were granted
 }
 
 // routeKindLabel is the label for the kind of a route.
@@ -27,7 +28,8 @@
 		firstLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_first_seconds", Help: "Time to the answer or its first event.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		totalLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_whole_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		dials:        prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_gateway_dials_total", Help: "New connections to upstreams."}),
+		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{"service", "granted"}),
 	}
-	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials)
+	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits)
 	return m
 }
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -61,6 +61,9 @@
 	case x.upstreamError != nil:
 		x.writeResponse(x.upstreamError.head, x.upstreamError.body)
 	case !x.mayHaveRun && x.remaining() > 0:
+		if reason == reasonLimited {
+			retryAfter = retryAfterMedium
+		}
 		x.respond(statusUnavailable, reason, retryAfter)
 	case x.remaining() <= 0:
 		x.respond(statusGatewayTimeout, reason, 0)
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -25,13 +25,15 @@
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrpermit"
 	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
 	"kingcuprun.example/link/kcrwire"
 )
 
 // This file defines the host, which opens a home for a bucket when a router first
-// asks for a loan from it, and closes homes that are idle. Invariants: each home that
+// asks for a loan from it, and closes homes that are idle. It also issues the permits for an
+// upstream with a rate limit: for the one beside it, and others that have none. Invariants: each home that
 // is opened has a holder name of its own on the ledger; a host lends only to routers
 // that use the same number of buckets.
 
@@ -52,7 +54,8 @@
 // concurrent use.
 type Host struct {
 	config    Config
-	startedAt kcrclock.Time // on the clock of Config.BootClock
+	startedAt kcrclock.Time     // on the clock of Config.BootClock
+	permits   *kcrpermit.Issuer // for upstreams with a rate limit
 	server    *kcrlink.Server
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
@@ -92,7 +95,7 @@
 // New starts a host. It opens no home until a router asks for a loan.
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
-	h = &Host{config: c, startedAt: c.BootClock.Now(), homes: map[kcrid.Bucket]*bucketHome{}}
+	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), homes: map[kcrid.Bucket]*bucketHome{}}
 	if h.server, err = kcrlink.Listen(c.ListenAddr, h.handleRequest); err != nil {
 		return nil, err
 	}
@@ -107,15 +110,24 @@
 
 // handleRequest answers a request of a router.
 func (h *Host) handleRequest(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
-	reply := &kcrwire.Reply{Error: "expected lend"}
-	if lend := req.GetLend(); lend != nil {
-		reply = h.handleLend(lend)
+	reply := &kcrwire.Reply{Error: "expected lend or permit"}
+	switch k := req.GetKind().(type) {
+	case *kcrwire.Request_Lend:
+		reply = h.handleLend(k.Lend)
+	case *kcrwire.Request_Permit:
+		reply = h.handlePermit(k.Permit)
 	}
 	if err := s.Send(reply); err != nil {
 		h.config.Logger.Info("reply to a router not sent", "err", err.Error())
 	}
 }
 
+// handlePermit answers a router that has a request for an upstream with a rate limit.
+func (h *Host) handlePermit(req *kcrwire.Permit) *kcrwire.Reply {
+	granted, wait := h.permits.Take(h.config.Clock.Now(), kcrid.Incarnation(req.GetServer()), req.GetRate())
+	return &kcrwire.Reply{Kind: &kcrwire.Reply_Permitted{Permitted: &kcrwire.Permitted{Granted: granted, After: int64(wait)}}}
+}
+
 // homeOf returns the home of a bucket, and opens it if there is none. It returns nil
 // if the host is stopping.
 func (h *Host) homeOf(bucket kcrid.Bucket) *bucketHome {
--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -148,6 +148,20 @@
 	return min(max(shortest, now.Sub(since)/pauseDivisor), longest)
 }
 
+// first returns the address of the home that ranks first for an item, whether it answers or
+// not, so that routers agree on it. It returns "" if there is none.
+func (d *homeDirectory) first(item string) (first string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	highest := uint64(0)
+	for addr := range d.homes {
+		if weight := kcrid.RendezvousWeight(item, addr); first == "" || weight > highest {
+			first, highest = addr, weight
+		}
+	}
+	return first
+}
+
 // knownEmpty reports whether the membership is known and contains no home. Before
 // the first update it returns false.
 func (d *homeDirectory) knownEmpty() bool {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -82,6 +82,7 @@
 	relay             *relay
 	escrowChanged     *kcrdaemon.Signal // wakes requests that wait for escrow
 	homes             *homeDirectory
+	permits           *permitDesk
 	loans             prometheus.Counter // loans started
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
@@ -128,6 +129,7 @@
 		partSuspects:  kcrcrash.NewPartSuspects(maxCrashes),
 		escrowChanged: kcrdaemon.NewSignal(),
 		homes:         newHomeDirectory(),
+		permits:       newPermitDesk(),
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
@@ -142,7 +144,7 @@
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
-		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts,
+		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle},
 	})
 	if err != nil {
@@ -318,12 +320,14 @@
 }
 
 // updateUpstreams passes the upstreams that may get requests to the placement table,
-// and the addresses of the processes beside engines to the directory of homes.
+// and the addresses of the processes beside engines to the directory of homes and the permit
+// desk.
 func (n *Node) updateUpstreams() {
 	n.updating.Lock()
 	defer n.updating.Unlock()
 	var upstreams []kcrplacement.Upstream
 	var homes, leaving []string
+	beside := map[kcrid.VM]string{}
 	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
 		if m.Draining {
@@ -335,11 +339,13 @@
 		})
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
+			beside[m.ID] = m.Home
 		}
 	}
 	n.table.Update(n.clock.Now(), upstreams)
 	if rules != nil && n.fleet.HasMembers() {
 		n.homes.update(n.clock.Now(), homes, leaving)
+		n.permits.update(beside)
 	}
 }
 
--- /dev/null
+++ b/router/kcrnode/permit.go
@@ -0,0 +1,107 @@
+package kcrnode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrpermit"
+	"kingcuprun.example/link/kcrwire"
+)
+
+// This file defines how a router takes permits for requests to upstreams that have named a
+// rate limit. The process beside an upstream issues them, or the home that ranks first for it
+// if there is none beside it. Invariant: a router that gets no answer sends nothing to the
+// upstream, except for one router, which issues permits to itself for ownShare of the rate.
+
+const (
+	// permitTimeout bounds a call for a permit.
+	permitTimeout = 100 * time.Millisecond
+	// permitRetryDelay is how long no permit is asked for after a call that failed.
+	permitRetryDelay = 250 * kcrclock.Millisecond
+	// ownShare is the part of the rate that is left while others may get permits from a process
+	// that this router does not reach.
+	ownShare = 0.2
+)
+
+// permitDesk is what a router knows about the issuers of permits. It is safe for concurrent use.
+type permitDesk struct {
+	own *kcrpermit.Issuer // for upstreams whose issuer does not answer
+
+	mu     sync.Mutex
+	beside map[kcrid.VM]string      // addresses of the processes beside upstreams
+	silent map[string]kcrclock.Time // addresses that are not asked before a time
+}
+
+func newPermitDesk() *permitDesk {
+	return &permitDesk{own: kcrpermit.New(), silent: map[string]kcrclock.Time{}}
+}
+
+// update replaces the processes beside upstreams.
+func (d *permitDesk) update(beside map[kcrid.VM]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beside = beside
+}
+
+// issuer returns the address of the process beside an upstream, "" for none.
+func (d *permitDesk) issuer(vm kcrid.VM) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.beside[vm]
+}
+
+// isSilent reports whether a process is not to be asked now.
+func (d *permitDesk) isSilent(now kcrclock.Time, addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now < d.silent[addr]
+}
+
+// maxSilent bounds the processes that are not asked; beyond it, all of them are asked again.
+const maxSilent = 1024
+
+// recordFailure records that a process has not answered.
+func (d *permitDesk) recordFailure(now kcrclock.Time, addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.silent) >= maxSilent {
+		clear(d.silent)
+	}
+	d.silent[addr] = now.Add(permitRetryDelay)
+}
+
+// TakePermit takes a permit for one request to an upstream that has named a rate limit, in
+// requests per second. If there is none, it returns the time until it is worth asking again.
+func (n *Node) TakePermit(upstream kcrid.Incarnation, rate float64) (granted bool, wait kcrclock.Duration) {
+	now := n.clock.Now()
+	addr := n.permits.issuer(upstream.VM())
+	if addr == "" {
+		addr = n.homes.first(string(upstream.VM()))
+	}
+	if addr != "" && !n.permits.isSilent(now, addr) {
+		granted, wait, err := n.callForPermit(addr, upstream, rate)
+		if err == nil {
+			return granted, wait
+		}
+		n.permits.recordFailure(now, addr)
+		n.logger.Warn("call for a permit failed", "id", string(upstream), "home", addr, "rate", rate, "err", err.Error())
+	}
+	if n.peers.Ready() && n.peers.OwnsItem(now, string(upstream)) {
+		return n.permits.own.Take(now, upstream, ownShare*rate)
+	}
+	return false, permitRetryDelay
+}
+
+// callForPermit asks a process for a permit.
+func (n *Node) callForPermit(addr string, upstream kcrid.Incarnation, rate float64) (granted bool, wait kcrclock.Duration, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	defer cancel()
+	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Permit{Permit: &kcrwire.Permit{Server: string(upstream), Rate: rate}}})
+	if err != nil {
+		return false, 0, err
+	}
+	return reply.GetPermitted().GetGranted(), kcrclock.Duration(reply.GetPermitted().GetAfter()), nil
+}
