A stream whose engine is silent is given up only with a retry in hand

Cause: a silent engine was given up, and its connection closed, before the retry budget was asked; where it said no, the stream was broken off though its engine lived. A busy router also takes a reachable engine for unreachable, as it does not get to its own dial within 100 ms (570 ms after the run began in the record, long before 2.5 pauses). Class: the old way is left before the new one is had. Ruled out: that the engine had ended (the record: its run is cut by our close).

Change: shouldGiveUp takes the retry first. Without one the engine is kept as that of a stream that can't be resumed elsewhere: given up if it is unreachable shortly before the caller would leave.

--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -156,6 +156,7 @@
 	longestGap        kcrclock.Duration // between two writes of events
 	lastForwardedAt   kcrclock.Time     // when events were last written, 0 before
 	mayHaveRun        bool              // an upstream may have started a run
+	holdsRetry        bool              // another attempt was taken from the retry budget
 	upstreamError     *response         // error of an upstream, forwarded if no other one succeeds
 	outcome           string            // an outcome constant, a status code or an upstream's error
 	reason            string            // of an outcome other than success
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -568,6 +568,44 @@
 	}
 }
 
+// Guards against a stream that is broken off, though its engine is only slow, when the retry
+// budget allows no other attempt.
+func TestSlowStreamIsKeptWithoutRetries(t *testing.T) {
+	t.Parallel()
+	const silence = 600 * time.Millisecond // longer than an engine may be silent
+	for _, c := range []struct {
+		name        string
+		before      int  // events before the silence
+		isReachable bool // for new connections
+	}{{"before its first event", 0, true}, {"within the stream", 3, true}, {"and busy", 3, false}, {"and busy before its first event", 0, false}} {
+		var u *upstream
+		u = newUpstream(t, "u", func(_ int, req request, conn net.Conn) bool {
+			if !c.isReachable {
+				_ = u.listener.Close()
+			}
+			if c.before > 0 {
+				writeStream(conn, req.id(), 1, c.before)
+			}
+			time.Sleep(silence)
+			if c.before == 0 {
+				writeStream(conn, req.id(), 1, 3)
+			}
+			_, _ = conn.Write(kcrhttp.AppendChunk(nil, []byte(formatEvent(4))))
+			_, err := io.WriteString(conn, kcrhttp.LastChunk)
+			return err == nil
+		})
+		other := newUpstream(t, "other", respondOK)
+		gw := newTestGatewayWith(t, kcrgateway.RetryLimits{Window: 10000, FirstStart: true}, u)
+		gw.placeNearAndFar(u, other)
+		if _, body, err := roundTrip(t, gw, "/resume/1", ""); err != nil || body != formatEvents(4) {
+			t.Errorf("slow %s: expected the whole stream, got %q %v", c.name, body, err)
+		}
+		if n := other.requestCount.Load(); n != 0 {
+			t.Errorf("slow %s: expected no other attempt, got %d", c.name, n)
+		}
+	}
+}
+
 // TestUnreachableEngineIsGivenUp checks that a silent engine that accepts no
 // connection is given up in time, and one that is only slow is not.
 func TestUnreachableEngineIsGivenUp(t *testing.T) {
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -119,6 +119,13 @@
 	return !x.interrupted() && x.remaining() > 0 && (!x.mayHaveRun || x.route.Rerunnable() && x.runs < x.route.MaxRuns)
 }
 
+// holdRetry takes another attempt from the retry budget before the current one is given up. It
+// reports whether the budget allows it; takeRetry does not take it once more.
+func (x *exchange) holdRetry() bool {
+	x.holdsRetry = x.holdsRetry || x.gateway.retryWindow(x.service).TryRetry(x.gateway.clock.Now(), x.gateway.config.RouterCount())
+	return x.holdsRetry
+}
+
 // takeRetry counts another attempt against the retry budget of the service, and reports
 // whether the budget allows it. An attempt that could not connect is repeated without
 // using that budget.
@@ -127,7 +134,9 @@
 	if last.result == kcrplacement.Unreachable {
 		return true
 	}
-	return x.gateway.retryWindow(x.service).TryRetry(x.gateway.clock.Now(), x.gateway.config.RouterCount())
+	allowed := x.holdRetry()
+	x.holdsRetry = false
+	return allowed
 }
 
 // recordFailedHead ends an attempt that brought no usable response head.
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -47,6 +47,7 @@
 	lastEventID int64                 // of the last event that the caller has, -1 if it is unknown
 	progressAt  kcrclock.Time         // of the last event of the current run that was not a comment; initially its start
 	probed      bool                  // the engine was reachable after that
+	kept        bool                  // no retry was left to give up the engine after that
 	events      kcrhttp.EventSplitter // splits the current run into events
 	readBuf     [readBufSize]byte
 }
@@ -133,11 +134,13 @@
 }
 
 // canMove reports whether the stream may be resumed on another upstream.
-func (s *streamForwarder) canMove() bool { return s.x.route.Resumable && s.x.runs < s.x.route.MaxRuns }
+func (s *streamForwarder) canMove() bool {
+	return s.x.route.Resumable && s.x.runs < s.x.route.MaxRuns && !s.kept
+}
 
 // recordProgress records that the current run has made progress, or starts.
 func (s *streamForwarder) recordProgress() {
-	s.progressAt, s.probed = s.x.gateway.clock.Now(), false
+	s.progressAt, s.probed, s.kept = s.x.gateway.clock.Now(), false, false
 }
 
 // probeDeadline returns when an engine that is silent since a time is probed. limit is the
@@ -167,26 +170,49 @@
 	return min(s.x.deadline, since.Add(kcrclock.Duration(maxSilenceFactor*float64(limit))))
 }
 
+// silenceDeadline returns until when an engine that is silent since a time is waited for: it
+// is probed then or, if it was probed already, given up.
+func (s *streamForwarder) silenceDeadline(since kcrclock.Time, limit kcrclock.Duration, fraction float64) kcrclock.Time {
+	if s.probed {
+		return s.giveUpDeadline(since, limit)
+	}
+	return s.probeDeadline(since, limit, fraction)
+}
+
 // awaitResponse reads the response head. An engine that sends none in time is
 // probed, and gets more time if it is reachable.
 func (s *streamForwarder) awaitResponse(a *attempt) (state attemptState, reason string) {
-	deadline := s.probeDeadline(s.x.gateway.clock.Now(), s.x.route.LatencyTarget, firstEventFraction)
-	if state, reason = a.readResponseHead(deadline); reason != reasonTimedOut || deadline >= s.x.deadline || unreachable(a.choice.Addr) {
-		return state, reason
+	s.recordProgress()
+	since, limit := s.progressAt, s.x.route.LatencyTarget
+	for {
+		deadline := s.silenceDeadline(since, limit, firstEventFraction)
+		state, reason = a.readResponseHead(deadline)
+		if reason != reasonTimedOut || deadline >= s.x.deadline || s.shouldGiveUp(a, since, limit) {
+			return state, reason
+		}
+		if s.probed {
+			since = s.x.gateway.clock.Now()
+		}
 	}
-	return a.readResponseHead(s.giveUpDeadline(s.x.gateway.clock.Now(), s.x.route.LatencyTarget))
 }
 
-// shouldGiveUp reports whether a silent engine is given up, because it is
-// unreachable or was silent for too long. Otherwise it extends the read deadline.
-func (s *streamForwarder) shouldGiveUp(a *attempt, limit kcrclock.Duration) bool {
-	now, deadline := s.x.gateway.clock.Now(), s.giveUpDeadline(s.progressAt, limit)
-	if s.x.interrupted() || now >= deadline || unreachable(a.choice.Addr) {
+// shouldGiveUp reports whether an engine that is silent since a time is given up, because it
+// is unreachable or was silent for too long. Without a retry for another engine it is kept:
+// it may only be slow, or this router too busy to reach it.
+func (s *streamForwarder) shouldGiveUp(a *attempt, since kcrclock.Time, limit kcrclock.Duration) bool {
+	silentTooLong := s.x.gateway.clock.Now() >= s.giveUpDeadline(since, limit)
+	switch {
+	case s.x.interrupted():
+		return true
+	case !silentTooLong && !unreachable(a.choice.Addr):
+		s.probed = true
+		return false
+	case !s.canMove() || s.x.holdRetry():
 		return true
+	default:
+		s.kept, s.probed = true, false
+		return false
 	}
-	s.probed = true
-	a.setReadDeadline(deadline)
-	return false
 }
 
 // forwardEvents forwards events until the run ends. It returns the reason why the
@@ -226,19 +252,15 @@
 	if !receivedAny {
 		limit, fraction = s.x.route.LatencyTarget, firstEventFraction
 	}
-	deadline := s.probeDeadline(s.progressAt, limit, fraction)
-	if s.probed {
-		deadline = s.giveUpDeadline(s.progressAt, limit)
-	}
-	a.setReadDeadline(deadline)
-	n, err = a.body.Read(s.readBuf[:])
-	if n > 0 || err == nil || s.probed || deadline >= s.x.deadline || readErrorReason(err) != reasonTimedOut {
-		return n, err
-	}
-	if s.shouldGiveUp(a, limit) || !a.body.ClearTimeout() {
-		return 0, err
+	for {
+		deadline := s.silenceDeadline(s.progressAt, limit, fraction)
+		a.setReadDeadline(deadline)
+		n, err = a.body.Read(s.readBuf[:])
+		if n > 0 || err == nil || deadline >= s.x.deadline || readErrorReason(err) != reasonTimedOut ||
+			s.shouldGiveUp(a, s.progressAt, limit) || !a.body.ClearTimeout() {
+			return n, err
+		}
 	}
-	return a.body.Read(s.readBuf[:])
 }
 
 // writeEvents writes the complete events that have arrived to the caller. It
