Only a success that names no limit ends the rate limit of an upstream

An upstream in need refuses requests as full, or fails them, and may not name its limit there; such an answer ended the limit at that router, and it sent without permits until the next answer that names it. TestRequestsToLimitedUpstreamNeedPermits has the case, and no longer depends on which upstream is the faster.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -260,9 +260,13 @@
 }
 
 // recordRateLimit records the limit that the response names, or that it names none. A value
-// that is no rate is ignored.
+// that is no rate is ignored. Only a success ends a limit, since an upstream may refuse or fail
+// a request without naming it.
 func (a *attempt) recordRateLimit() {
 	limit, value := kcrplacement.RateLimit{}, a.head.Get(a.x.gateway.headerNames.RateLimit)
+	if value == "" && a.head.Status >= 300 {
+		return
+	}
 	if value != "" {
 		rate, err := strconv.ParseFloat(value, 64)
 		if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
--- a/router/kcrgateway/limit_test.go
+++ b/router/kcrgateway/limit_test.go
@@ -5,27 +5,35 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrplacement"
 )
 
 // These tests send requests to upstreams that name a rate limit.
 
+// refusal as the rate makes an upstream refuse requests and name no limit.
+const refusal = "refusal"
+
 // newLimitedUpstream starts an upstream that names a limit while rate is not empty.
 func newLimitedUpstream(t *testing.T, id string, rate *atomic.Value) *upstream {
 	t.Helper()
 	return newUpstream(t, id, func(_ int, req request, conn net.Conn) bool {
-		headers := ""
-		if text := rate.Load().(string); text != "" {
-			headers = "X-Rate: " + text + "\r\n"
+		switch text := rate.Load().(string); text {
+		case "":
+			return respond(conn, req.id(), "200 OK", "", "fine")
+		case refusal:
+			return respond(conn, req.id(), "503 Full", "X-Not-Run: 1\r\n", "")
+		default:
+			return respond(conn, req.id(), "200 OK", "X-Rate: "+text+"\r\n", "fine")
 		}
-		return respond(conn, req.id(), "200 OK", headers, "fine")
 	})
 }
 
 // Guards against requests that are sent without a permit, refusals while another upstream has
-// room, and a limit that outlasts the answers that name it.
+// room, and a limit that ends before or outlasts the answers that name it.
 func TestRequestsToLimitedUpstreamNeedPermits(t *testing.T) {
 	t.Parallel()
 	var rate, none atomic.Value
@@ -34,45 +42,43 @@
 	near, far := newLimitedUpstream(t, "near", &rate), newLimitedUpstream(t, "far", &none)
 	gw := newTestGateway(t, near, far)
 	gw.placeNearAndFar(near, far)
-	var grants atomic.Int64 // permits that are left
-	var asked atomic.Int64
+	const wait = 100 * time.Millisecond // until another permit is asked for
+	var permits, asked atomic.Int64     // permits that are left, and how many were asked for
 	gw.takePermit.Store(func(upstream kcrid.Incarnation, perSecond float64) (bool, kcrclock.Duration) {
 		asked.Add(1)
 		if upstream != "near/0" || perSecond != 2.5 {
 			t.Errorf("expected a permit for near/0 at 2.5, got %s at %v", upstream, perSecond)
 		}
-		return grants.Add(-1) >= 0, 1
+		return permits.Add(-1) >= 0, kcrclock.Duration(wait.Milliseconds())
 	})
-	send := func(wantNear, wantFar int64) {
+	send := func(what string, wantStatus int, wantNear, wantAsked int64) {
 		t.Helper()
 		head, _, err := roundTrip(t, gw, "/once/1", "")
-		if err != nil || head.Status != 200 {
-			t.Fatalf("expected 200, got %v %v", head, err)
+		if err != nil || head.Status != wantStatus {
+			t.Errorf("%s: expected status %d, got %v %v", what, wantStatus, head, err)
 		}
-		if n, f := near.requestCount.Load(), far.requestCount.Load(); n != wantNear || f != wantFar {
-			t.Fatalf("expected %d requests near and %d far, got %d and %d", wantNear, wantFar, n, f)
+		if n, a := near.requestCount.Load(), asked.Load(); n != wantNear || a != wantAsked {
+			t.Errorf("%s: expected %d requests and %d permits asked for, got %d and %d", what, wantNear, wantAsked, n, a)
 		}
 	}
-	send(1, 0) // names the limit
-	send(1, 1) // no permit
-	grants.Store(1)
-	waitFor(t, "a permit", func() bool {
-		head, _, err := roundTrip(t, gw, "/once/1", "")
-		return err == nil && head.Status == 200 && near.requestCount.Load() == 2
-	})
-	rate.Store("")
-	grants.Store(1)
-	waitFor(t, "a permit", func() bool {
-		head, _, err := roundTrip(t, gw, "/once/1", "")
-		return err == nil && head.Status == 200 && near.requestCount.Load() == 3
-	})
-	before, farBefore := asked.Load(), far.requestCount.Load()
-	for i := range int64(3) { // without a limit, without permits
-		send(4+i, farBefore)
-	}
-	if got := asked.Load(); got != before {
-		t.Errorf("expected no permit to be asked for without a limit, got %d", got-before)
+	send("before a limit is named", 200, 1, 0)
+	send("without a permit, another upstream", 200, 1, 1)
+	if n := far.requestCount.Load(); n != 1 {
+		t.Errorf("expected 1 request at the other upstream, got %d", n)
 	}
+	gw.table.Update(0, []kcrplacement.Upstream{{ID: "near", Service: "s", Addr: near.listener.Addr().String(), Zone: "z", Slots: 8}})
+	time.Sleep(2 * wait)
+	permits.Store(1)
+	send("with a permit", 200, 2, 2)
+	rate.Store(refusal)
+	permits.Store(1)
+	send("a refusal that names no limit", 503, 3, 3)
+	send("after it, without a permit", 503, 3, 4)
+	time.Sleep(2 * wait)
+	rate.Store("")
+	permits.Store(1)
+	send("an answer that names no limit", 200, 4, 5)
+	send("after it", 200, 5, 5)
 }
 
 // Guards against refusals that are not true or that come late, and values that are no rate.
