--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -335,8 +335,8 @@
 	return false
 }
 
-// preferred returns the upstream that all routers prefer for the longest shared
-// prefix, by rendezvous hashing over those without a rate limit that are not in cooldown. It returns
+// preferred returns the upstream that all routers prefer for the longest shared prefix, by
+// rendezvous hashing over those that are not in cooldown and have no rate limit. It returns
 // nil for a request that shares nothing.
 func (s *service) preferred(now kcrclock.Time, req Request) (best *upstream) {
 	if len(req.PromptParts) < 2 {
