--- a/router/kcrgateway/crash_test.go
+++ b/router/kcrgateway/crash_test.go
@@ -150,7 +150,7 @@
 			}
 		}
 		if got := engines.crashes.Load(); got != 12 {
-			t.Errorf("%s: expected 8 crashes, got %d", path, got)
+			t.Errorf("%s: expected 12 crashes, got %d", path, got)
 		}
 	}
 }
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -66,7 +66,7 @@
 	if x.gateway.stopping.Load() && !x.endsBeforeStop() {
 		return x.refuse(statusUnavailable, "the router stops", retryAfterShort)
 	}
-	x.content = x.contentHash()
+	x.content = kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body)
 	if reason := x.banReason(); reason != "" {
 		return x.refuse(statusUnavailable, reason, retryAfterLong)
 	}
@@ -74,11 +74,6 @@
 	return true
 }
 
-// contentHash returns the hash of target, team and body.
-func (x *exchange) contentHash() kcrid.ContentHash {
-	return kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body)
-}
-
 // banReason returns why the request must not run since it crashes upstreams, "" if it may.
 func (x *exchange) banReason() string {
 	if x.gateway.config.Crashes.Banned(x.content) {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -32,10 +32,10 @@
 )
 
 // This file defines the host, which opens a home for a bucket when a router first
-// asks for a loan from it, and closes homes that are idle. It also issues the permits for an
-// upstream with a rate limit: for the one beside it, and others that have none. Invariants: each home that
-// is opened has a holder name of its own on the ledger; a host lends only to routers
-// that use the same number of buckets.
+// asks for a loan from it, and closes homes that are idle. It also issues the permits for
+// upstreams with a rate limit: for the one beside it, and for others that have no process
+// beside them. Invariants: each home that is opened has a holder name of its own on the
+// ledger; a host lends only to routers that use the same number of buckets.
 
 // Config contains the settings and dependencies of a Host.
 type Config struct {
