A follower logs that its log ends before the next record

The logs of the incident can't tell a log that has lost records from a store that answers late (hypotheses 1 and 2 of docs/incidents/store-restored.md).

--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -186,6 +186,9 @@
 func (f *Follower) applyPage(ctx context.Context, page kcrlog.Page) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	if page.NextOffset < f.next {
+		f.logger.Warn("the log ends before the next record", "stream", f.stream, "next", f.next, "end", page.NextOffset)
+	}
 	if page.FirstOffset > f.next && f.machine.AllowsGaps {
 		f.next = page.FirstOffset
 	}
