--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -277,3 +277,18 @@
 	}
 	h.wg.Wait()
 }
+
+// Kill ends the host as a crash of its process would: no escrow is returned. It exists for
+// tests.
+func (h *Host) Kill() {
+	h.cancel()
+	h.server.Close()
+	h.mu.Lock()
+	h.stopped = true
+	homes := h.homes
+	h.homes = map[kcrid.Bucket]*bucketHome{}
+	h.mu.Unlock()
+	for _, home := range homes {
+		home.follower.Close()
+	}
+}
