An older entry of an upstream that is gone does not bring it back

After the store came back from an older copy its list held engines that had left since. A router that had removed one took it into its list again, ready, until the engine's own removal was written again: an entry of the same start was accepted whatever its sequence. Entries are now ordered by start and sequence for removed upstreams too, as they are for known ones; an engine whose entry lapsed is back with its next, newer entry. The new test failed before: sequence 6 was accepted after 7 had been removed.

--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -37,24 +37,27 @@
 	entryMissing bool // kept only during the grace period
 }
 
+// version orders the entries of an upstream.
+type version struct{ born, sequence int64 }
+
 // Fleet is the list of upstreams. It is safe for concurrent use.
 type Fleet struct {
 	gracePeriod kcrclock.Duration
 
 	mu          sync.Mutex
 	members     map[kcrid.VM]*memberState
-	removed     map[kcrid.VM]int64 // Born of removed upstreams
-	lastContact kcrclock.Time      // when the store last responded
-	contacted   bool               // the store has responded at least once
-	storeLost   bool               // the store doesn't respond
-	graceEnd    kcrclock.Time      // until then, upstreams without an entry are kept
-	digest      uint64             // of all members; see Member.digest
+	removed     map[kcrid.VM]version // of removed upstreams
+	lastContact kcrclock.Time        // when the store last responded
+	contacted   bool                 // the store has responded at least once
+	storeLost   bool                 // the store doesn't respond
+	graceEnd    kcrclock.Time        // until then, upstreams without an entry are kept
+	digest      uint64               // of all members; see Member.digest
 }
 
 // New returns an empty fleet. After an outage of the store, upstreams whose entry
 // is missing are kept for the grace period.
 func New(grace kcrclock.Duration) *Fleet {
-	return &Fleet{gracePeriod: grace, members: map[kcrid.VM]*memberState{}, removed: map[kcrid.VM]int64{}}
+	return &Fleet{gracePeriod: grace, members: map[kcrid.VM]*memberState{}, removed: map[kcrid.VM]version{}}
 }
 
 // StoreResponded records that the store has responded with all changes up to now. It must
@@ -109,11 +112,12 @@
 
 // ApplyEntry applies an entry, and reports whether it changed anything other than the
 // sequence number and the remaining cold time. For a removed upstream, entries of
-// an earlier start and draining entries of the same start are ignored.
+// an earlier start are ignored, and those of the same start that are draining or not newer.
 func (f *Fleet) ApplyEntry(now kcrclock.Time, m Member) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if born, ok := f.removed[m.ID]; ok && (m.Born < born || m.Born == born && m.Born != 0 && m.Draining) {
+	last, ok := f.removed[m.ID]
+	if ok && (m.Born < last.born || m.Born == last.born && m.Born != 0 && (m.Draining || m.Sequence <= last.sequence)) {
 		return false
 	}
 	s, ok := f.members[m.ID]
@@ -183,7 +187,7 @@
 	if len(f.removed) >= maxRemoved {
 		clear(f.removed)
 	}
-	f.removed[id] = s.member.Born
+	f.removed[id] = version{s.member.Born, s.member.Sequence}
 	f.digest ^= s.member.digest()
 	delete(f.members, id)
 }
--- a/kernel/kcrfleet/fleet_test.go
+++ b/kernel/kcrfleet/fleet_test.go
@@ -106,3 +106,21 @@
 		t.Fatal("expected the entries of the store to replace the members of a peer")
 	}
 }
+
+// TestOldEntryOfRemovedEngineIsIgnored guards against engines that are back in the list since
+// the store has come back from an older copy.
+func TestOldEntryOfRemovedEngineIsIgnored(t *testing.T) {
+	t.Parallel()
+	f := kcrfleet.New(grace)
+	f.StoreResponded(0)
+	f.ApplyEntry(0, member("a", 10, 7, false))
+	f.Remove(1, "a")
+	for _, sequence := range []int64{6, 7} {
+		if f.ApplyEntry(2, member("a", 10, sequence, false)); usable(f, "a") {
+			t.Fatalf("sequence %d, after 7 was removed: expected the entry to be ignored", sequence)
+		}
+	}
+	if f.ApplyEntry(3, member("a", 10, 8, false)); !usable(f, "a") {
+		t.Fatal("an entry that was written since: expected the engine to be usable")
+	}
+}
