Readers of the store notice that it has come back from an older copy

What callers saw: after the return of the store routers stayed on version 5 of the configuration while 7 was the newest. The store gives offsets out again, and a reader remembers an offset: where the topic has grown past it since, the records between are other records, and were skipped; where it has not, the reader waited, and took an empty answer for the end.

--- a/kernel/kcrlog/log.go
+++ b/kernel/kcrlog/log.go
@@ -30,11 +30,14 @@
 
 // Page is the result of one read: consecutive records of a stream. FirstOffset is the
 // offset of the oldest record that the log still holds, NextOffset the offset that the
-// next append will get.
+// next append will get. Era rises whenever the log comes back from an older copy: the records
+// since that copy are gone, and their offsets are given out again. It is 0 for a log that
+// never loses records.
 type Page struct {
 	FirstOffset kcrid.Offset
 	NextOffset  kcrid.Offset
 	Records     []Record
+	Era         uint64
 }
 
 // Log gives access to the platform's log. Append may take effect although it
@@ -114,6 +117,9 @@
 	o.pending = o.pending[confirmed:]
 }
 
+// Clear removes all entries. Sequences go on.
+func (o *Outbox) Clear() { o.pending = nil }
+
 // Len returns the number of entries that are not confirmed.
 func (o *Outbox) Len() int { return len(o.pending) }
 
--- a/kernel/kcrpeer/registry.go
+++ b/kernel/kcrpeer/registry.go
@@ -44,6 +44,7 @@
 	mu         sync.Mutex
 	at         kcrid.Offset   // offset of the last record applied
 	ready      bool           // the stream was read to its end
+	era        uint64         // of the stream, 0 before its first page
 	ownHelloAt kcrclock.Time  // time of the last own Hello record, 0 before the first
 	outbox     *kcrlog.Outbox // records that the log has not confirmed
 	peers      map[kcrid.Incarnation]peer
@@ -85,7 +86,7 @@
 	if writer.VM() != r.self.VM() {
 		r.seenAt[writer.VM()] = now
 	}
-	p := peer{addr: hello.GetAddr()}
+	p := peer{addr: hello.GetAddr(), lastHelloAt: r.peers[writer].lastHelloAt}
 	if r.ready {
 		p.lastHelloAt = now
 	}
@@ -104,6 +105,19 @@
 	return r.at
 }
 
+// BeginEra tells the registry in which era the stream is; see kcrlog.Page. In a new one, its
+// records are read again, and it reports true; this router writes another Hello record, since the
+// last one may be lost.
+func (r *Registry) BeginEra(era uint64) (again bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	again = r.era != 0 && r.era != era
+	if r.era = era; again {
+		r.at, r.ready, r.ownHelloAt = 0, false, 0
+	}
+	return again
+}
+
 // MarkReady tells the registry that the stream was read to its end.
 func (r *Registry) MarkReady() {
 	r.mu.Lock()
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -23,7 +23,8 @@
 // appends the records that the state produces, and writes snapshots. Invariants:
 // records are applied in order and none is left out; if the log has deleted the next
 // record after its retention time and no snapshot covers it, nothing is applied; an
-// append is repeated only with the same bytes, so that the state ignores the copies.
+// append is repeated only with the same bytes, so that the state ignores the copies; records
+// of two eras of the log are never mixed.
 
 // StateMachine is a state that is computed from the records of a stream, as functions
 // that a follower calls. Batch, Snapshot, MarkReady and ReadDelay may be nil,
@@ -36,6 +37,10 @@
 	// Restore replaces the state by a snapshot if the snapshot is newer, and tells
 	// whether it was.
 	Restore func(state []byte) (bool, error)
+	// BeginEra is called with the era of the log before the first page, and whenever the log
+	// has come back from an older copy. It reports whether the state was reset: the stream is
+	// then read from its start. It may be nil for a log that never loses records.
+	BeginEra func(era uint64) (reset bool)
 	// Snapshot returns the encoded state and the offset of the last record in it.
 	Snapshot func() (kcrid.Offset, []byte, error)
 	// Batch returns at most limit records to append, and the sequence of the last
@@ -106,6 +111,7 @@
 
 	applying sync.Mutex   // held while records are applied
 	next     kcrid.Offset // offset of the next record to apply
+	era      uint64       // era of the log, 0 before the first page
 }
 
 // NewFollower starts to follow a stream. While records arrive, a snapshot is written
@@ -149,13 +155,14 @@
 func (f *Follower) readLoop(ctx context.Context) {
 	wait := kcrclock.Duration(0)
 	for ctx.Err() == nil {
-		page, err := f.log.Read(ctx, f.stream, f.nextOffset(), wait)
+		from := f.nextOffset()
+		page, err := f.log.Read(ctx, f.stream, from, wait)
 		if err != nil {
 			f.logger.Debug("log read failed", "stream", f.stream, "err", err)
 			Sleep(ctx, errorDelay)
 			continue
 		}
-		if !f.applyPage(ctx, page) {
+		if !f.applyPage(ctx, from, page) {
 			Sleep(ctx, time.Second)
 			continue
 		}
@@ -180,19 +187,41 @@
 	return f.next
 }
 
-// applyPage applies the records of a page that follow the state. A record that is not
-// an entry is skipped, as every reader must do. It returns false if the log has deleted
-// the next record and the state can't be restored.
-func (f *Follower) applyPage(ctx context.Context, page kcrlog.Page) bool {
+// beginEra begins the era of a page, and reports whether the page can be applied: it is not
+// of an earlier era, and the state was not reset.
+func (f *Follower) beginEra(era uint64) bool {
+	if era == f.era {
+		return true
+	}
+	if era < f.era {
+		return false
+	}
+	f.era = era
+	if f.machine.BeginEra == nil || !f.machine.BeginEra(era) {
+		return true
+	}
+	f.logger.Warn("the log has come back from an older copy: the stream is read again", "stream", f.stream, "era", era, "next", f.next)
+	f.next = 0
+	return false
+}
+
+// applyPage applies the records of a page, read from an offset, that follow the state. A
+// record that is not an entry is skipped, as every reader must do. It returns false if the
+// log has deleted the next record and the state can't be restored.
+func (f *Follower) applyPage(ctx context.Context, from kcrid.Offset, page kcrlog.Page) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	if !f.beginEra(page.Era) || from > f.next {
+		return true
+	}
 	if page.NextOffset < f.next {
 		f.logger.Warn("the log ends before the next record", "stream", f.stream, "next", f.next, "end", page.NextOffset)
+		return true
 	}
 	if page.FirstOffset > f.next && f.machine.AllowsGaps {
 		f.next = page.FirstOffset
 	}
-	if page.FirstOffset > f.next && !f.restore(ctx, page.FirstOffset) {
+	if page.FirstOffset > f.next && !f.restore(ctx, page.FirstOffset, page.NextOffset) {
 		f.logger.Error("state cannot be restored: the log has deleted records that no snapshot covers", "stream", f.stream, "need", f.next, "first", page.FirstOffset)
 		return false
 	}
@@ -218,12 +247,13 @@
 }
 
 // restore restores the newest snapshot after which the log still holds all records;
-// first is the offset of the oldest one. It tells whether the state can be continued
-// from there.
-func (f *Follower) restore(ctx context.Context, first kcrid.Offset) bool {
+// first is the offset of the oldest one, and end that of the next. It tells whether the state
+// can be continued from there. A snapshot from beyond the end is of records that the log has
+// lost.
+func (f *Follower) restore(ctx context.Context, first, end kcrid.Offset) bool {
 	snapshotStream := kcrid.SnapshotStream(f.stream)
 	for at, state := range ReadSnapshots(ctx, f.log, snapshotStream) {
-		if at+1 < first {
+		if at+1 < first || at >= end {
 			continue
 		}
 		if _, err := f.machine.Restore(state); err != nil {
@@ -370,12 +400,13 @@
 
 // readNow reads the stream without waiting for records, and applies what it gets.
 func (f *Follower) readNow(ctx context.Context) {
-	page, err := f.log.Read(ctx, f.stream, f.nextOffset(), 0)
+	from := f.nextOffset()
+	page, err := f.log.Read(ctx, f.stream, from, 0)
 	if err != nil {
 		f.logger.Debug("log read failed", "stream", f.stream, "err", err)
 		return
 	}
-	f.applyPage(ctx, page)
+	f.applyPage(ctx, from, page)
 }
 
 // isSnapshotDue tells whether to write a snapshot: after snapshotRecords records, after
@@ -383,6 +414,7 @@
 // since the log deletes snapshots after its retention time as well.
 func (f *Follower) isSnapshotDue() bool {
 	at, age := f.machine.Offset(), time.Since(f.snapshotTime)
+	f.snapshotOffset = min(f.snapshotOffset, at) // the state is read again in a new era of the log
 	switch {
 	case f.machine.Snapshot == nil || at == 0 || !f.machine.IsSnapshotWriter():
 		return false
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -90,6 +90,7 @@
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
 	configUnavailable atomic.Bool // the store does not provide the configuration
+	bansLost          atomic.Bool // the peer stream may lack records of bans
 	stopping          atomic.Bool
 	updating          sync.Mutex  // held while upstreams are passed on
 	entriesChanged    atomic.Bool // entries were applied that updateUpstreams has not passed on
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -99,7 +99,19 @@
 			n.applyParts(e)
 			n.applySuspect(e)
 		},
-		Offset: n.peers.At, Batch: n.peers.Batch, MarkReady: n.peers.MarkReady, AllowsGaps: true,
+		Offset: n.peers.At, Batch: n.peers.Batch, AllowsGaps: true,
+		BeginEra: func(era uint64) (again bool) {
+			if again = n.peers.BeginEra(era); again {
+				n.bansLost.Store(true)
+			}
+			return again
+		},
+		MarkReady: func() {
+			n.peers.MarkReady()
+			if n.bansLost.Swap(false) {
+				n.tellBans()
+			}
+		},
 		ReadDelay: func() time.Duration { return peerReadInterval },
 	}, c.Logger, c.SnapshotInterval.Std())
 }
@@ -146,8 +158,8 @@
 	}
 }
 
-// tellBans tells a router that has joined which contents and parts are banned, since the log
-// may have deleted the records. A few routers do it.
+// tellBans tells which contents and parts are banned to a router that has joined, or once the
+// log has come back from an older copy: it may lack the records. A few routers do it.
 func (n *Node) tellBans() {
 	if n.peers.Rank(n.clock.Now(), string(kcrid.PeerStream)) >= banTellers {
 		return
--- a/router/kcrnode/relay.go
+++ b/router/kcrnode/relay.go
@@ -25,6 +25,7 @@
 
 	mu            sync.Mutex
 	at            kcrid.Offset // offset of the last record applied
+	era           uint64       // of the stream, 0 before its first page
 	ready         bool         // the stream was read to its end
 	outbox        *kcrlog.Outbox
 	watch         kcrfleet.RelayWatch
@@ -51,7 +52,7 @@
 	}
 	r.start = func() *kcrdaemon.Follower {
 		return kcrdaemon.NewFollower(c.Log, kcrid.FleetStream, kcrdaemon.StateMachine{
-			Apply: r.apply, Offset: r.offset, Batch: r.batch, MarkReady: r.markReady, AllowsGaps: true,
+			Apply: r.apply, Offset: r.offset, Batch: r.batch, MarkReady: r.markReady, BeginEra: r.beginEra, AllowsGaps: true,
 			ReadDelay: func() time.Duration { return relayReadPause },
 		}, c.Logger, c.SnapshotInterval.Std())
 	}
@@ -70,6 +71,17 @@
 	return r.outbox.Batch(limit)
 }
 
+// beginEra makes the stream be read again when the log has come back from an older copy.
+func (r *relay) beginEra(era uint64) (again bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	again = r.era != 0 && r.era != era
+	if r.era = era; again {
+		r.at, r.ready = 0, false
+	}
+	return again
+}
+
 // markReady puts what the last page brought into effect.
 func (r *relay) markReady() {
 	r.mu.Lock()
