Budgets survive a store that comes back from an older copy

The home waited for its claims at an offset beyond the new end, so that nothing was confirmed; and what was granted in the lost seconds stood nowhere, so that a process that opened from the copy granted it again.

A stream now has eras. A holder that sees another era forgets its copy of the ledger, reads the stream again, and first restates its own grants and what it knows to be used in all; grants, loans and reservations of grants wait until the ledger shows that. The ledger keeps those tokens out of use that were used before but that no holder restates. Routers remember what homes have told them to be used, so that it is carried on when the home has died meanwhile; a holder that knows nothing of the time before waits 0.7 s for those who do. Bounds from before prove nothing any more.

Ruled out: appends that the store refuses (12 records were there); an answer that is late (the era in the answers differs).

What no living process knows of is lost: if all homes and routers die between the copy and the return, the budget can still be overspent.

--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -37,10 +37,18 @@
 	Credits map[string]kcrid.Tokens `json:"credits"`  // applied credits by name
 	// Version is the version of the limit that set Prepaid, 0 if credits set it.
 	Version uint64 `json:"version,omitempty"`
+	// Since the log lost records; see restore.go.
+	Base     kcrid.Tokens `json:"base,omitempty"`     // Used when the era began
+	Carried  kcrid.Tokens `json:"carried,omitempty"`  // greatest Used before the era that is known, 0 if none is
+	Restated kcrid.Tokens `json:"restated,omitempty"` // sum of the changes of Granted by restatements
 }
 
-// Available returns the tokens that are neither granted nor settled as spent.
-func (a Account) Available() kcrid.Tokens { return a.Prepaid - a.Granted - a.Settled }
+// Used returns the tokens that are granted, settled as spent, or may have been before the log
+// lost records.
+func (a Account) Used() kcrid.Tokens { return a.Granted + a.Settled + a.unattributed() }
+
+// Available returns the tokens that are not used.
+func (a Account) Available() kcrid.Tokens { return a.Prepaid - a.Used() }
 
 // Grant is the escrow that one holder has for one plan. Spent is what the holder
 // reported. ClosedSpent is what was spent at sidecars that the holder has closed.
@@ -79,10 +87,13 @@
 	Refunded
 	Limited
 	Inherited
+	EraBegun
+	Restated
+	Carried
 )
 
 // effectNames are the names of the kinds in logs.
-var effectNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded", "limited", "inherited"}
+var effectNames = [...]string{"ignored", "credited", "claimed", "marked", "opened", "closed", "fenced", "refunded", "limited", "inherited", "era", "restated", "carried"}
 
 // String returns the name of the kind.
 func (k EffectKind) String() string { return effectNames[k] }
@@ -138,6 +149,8 @@
 type Ledger struct {
 	rules         LedgerRules
 	lastOffset    kcrid.Offset // of the last record applied
+	era           uint64       // of the log, 0 before the first record of an era
+	restored      bool         // the log has lost records
 	seen          kcrlog.Deduplicator
 	accounts      map[kcrid.Plan]*Account
 	holders       map[kcrid.Incarnation]*Holder
@@ -225,6 +238,12 @@
 	switch k := e.GetKind().(type) {
 	case *kcrentry.Entry_Credit:
 		return l.credit(k.Credit)
+	case *kcrentry.Entry_Era:
+		return l.beginEra(k.Era.GetNumber())
+	case *kcrentry.Entry_Restate:
+		return l.restate(writer, k.Restate)
+	case *kcrentry.Entry_Carry:
+		return l.carry(k.Carry)
 	case *kcrentry.Entry_Inherit:
 		return l.inherit(off, writer, k.Inherit)
 	case *kcrentry.Entry_Limit:
@@ -470,6 +489,8 @@
 // ledgerSnapshot is the JSON form of a ledger snapshot.
 type ledgerSnapshot struct {
 	At       kcrid.Offset                  `json:"at"`
+	Era      uint64                        `json:"era,omitempty"`
+	Restored bool                          `json:"restored,omitempty"`
 	Seen     kcrlog.Deduplicator           `json:"seen"`
 	Accounts map[kcrid.Plan]*Account       `json:"accounts"`
 	Holders  map[kcrid.Incarnation]*Holder `json:"holders"`
@@ -478,19 +499,19 @@
 
 // Snapshot encodes the state at offset At. Equal ledgers give equal bytes.
 func (l *Ledger) Snapshot() (at kcrid.Offset, data []byte, err error) {
-	data, err = json.Marshal(ledgerSnapshot{At: l.lastOffset, Seen: l.seen, Accounts: l.accounts, Holders: l.holders, Former: l.formerHolders})
+	data, err = json.Marshal(ledgerSnapshot{At: l.lastOffset, Era: l.era, Restored: l.restored, Seen: l.seen, Accounts: l.accounts, Holders: l.holders, Former: l.formerHolders})
 	return l.lastOffset, data, err
 }
 
 // Restore loads a snapshot if it is newer than the ledger, and reports whether it
-// did.
+// did. A snapshot of a later era is newer whatever its offset.
 func (l *Ledger) Restore(data []byte) (newer bool, err error) {
 	fresh := NewLedger(l.rules)
 	snapshot := ledgerSnapshot{Seen: fresh.seen, Accounts: fresh.accounts, Holders: fresh.holders}
 	if err := json.Unmarshal(data, &snapshot); err != nil {
 		return false, err
 	}
-	if snapshot.At <= l.lastOffset {
+	if snapshot.Era < l.era || snapshot.Era == l.era && snapshot.At <= l.lastOffset {
 		return false, nil
 	}
 	for _, h := range snapshot.Holders {
@@ -506,6 +527,7 @@
 			a.Credits = map[string]kcrid.Tokens{}
 		}
 	}
+	l.era, l.restored = snapshot.Era, snapshot.Restored
 	l.lastOffset, l.seen, l.accounts, l.holders, l.formerHolders = snapshot.At, snapshot.Seen, snapshot.Accounts, snapshot.Holders, snapshot.Former
 	return true, nil
 }
--- a/kernel/kcrbudget/loan.go
+++ b/kernel/kcrbudget/loan.go
@@ -39,6 +39,8 @@
 	Tokens  kcrid.Tokens
 	Outcome ReserveOutcome
 	Unspent kcrid.Tokens
+	Used    kcrid.Tokens // the other tokens of the plan: granted to others, lent or spent
+	Era     uint64       // era of the log in which Used was counted
 }
 
 // Lend lends escrow to another holder: need tokens, and up to want if enough is
@@ -53,18 +55,22 @@
 	ps := w.planState(p)
 	ps.updateRates(now, w.ledger.SpentByOthers(p, w.self))
 	free := w.free(p, ps)
-	unspent := max(0, w.ledger.Account(p).Available()+free)
+	a := w.ledger.Account(p)
+	unspent, used := max(0, a.Available()+free), a.Used()-free
+	if w.mustCarry(p, ps) {
+		return Loan{Outcome: Pending, Unspent: unspent}
+	}
 	if !w.rules.Fits(free, need) {
-		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent}
+		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent, Used: used, Era: w.ledger.era}
 	}
 	if !w.rules.WithinBounds(ps.maxDrawn(need), w.allowance(now, ps)) {
 		w.raiseBound(now, p, ps, need)
-		return Loan{Outcome: Pending, Unspent: unspent}
+		return Loan{Outcome: Pending, Unspent: unspent, Used: used, Era: w.ledger.era}
 	}
 	lent := need + max(0, min(want-need, (free-need)/lendFreeDivisor, w.allowance(now, ps)-ps.maxDrawn(need)))
 	ps.lent += lent
 	ps.expectedSpending += float64(lent)
-	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent}
+	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent, Used: used + lent, Era: w.ledger.era}
 }
 
 // AddWaiting adds tokens that a loan waits for, so that the next claim covers all loans
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -38,6 +38,11 @@
 	reportedAt   kcrclock.Time // when Tick last reported the spending
 	planStates   map[kcrid.Plan]*walletPlanState
 	lastRecordAt map[kcrid.Incarnation]kcrclock.Time // time of the newest record of each writer
+
+	era        uint64        // of the log, 0 before its first page and for a log without eras
+	queuedEra  uint64        // newest era of which a record was queued
+	restateSeq uint64        // sequence number of the last restatement, 0 once it is confirmed
+	waitUntil  kcrclock.Time // until then others may restate; see waitsForCarries
 }
 
 // walletPlanState is the state of a wallet's grant for one plan. Fingerprint hashes
@@ -67,6 +72,13 @@
 	expectedSpending  float64                 // spending expected from the reservations since rateUpdatedAt
 	othersRate        float64                 // tokens spent by other holders per second, smoothed
 	lastSpentByOthers kcrid.Tokens            // tokens spent by other holders until rateUpdatedAt
+	hasClaimed        bool                    // a claim was queued
+	restating         bool                    // previousGrant is not confirmed on the ledger
+	previousGrant     kcrid.Tokens            // grant before the era of the log
+	previousUsed      kcrid.Tokens            // used tokens before the era, while they are not confirmed
+	notedEra          uint64                  // latest era of NoteUsed
+	notedUsed         kcrid.Tokens            // greatest number of that era
+	carrySeq          uint64                  // sequence number of the record that carries notedUsed, 0 if none is in flight
 }
 
 // Timing of a wallet.
@@ -153,11 +165,12 @@
 	}
 }
 
-// MarkReady tells the wallet that its ledger has reached the end of the stream.
+// MarkReady tells the wallet that its ledger has reached the end of the stream. It has no
+// effect while the ledger doesn't show the era of the log.
 func (w *Wallet) MarkReady() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ready {
+	if !w.ready && w.showsEra() {
 		w.ready = true
 		w.inheritGrants()
 	}
@@ -367,7 +380,7 @@
 // refill claims escrow up to the target, unless a claim is in flight or one fell
 // short within unmetClaimRetry.
 func (w *Wallet) refill(now kcrclock.Time, p kcrid.Plan, ps *walletPlanState, worstCase kcrid.Tokens) {
-	if ps.claimSeq != 0 || w.retired || ps.unmet && now.Sub(ps.unmetAt) < unmetClaimRetry {
+	if ps.claimSeq != 0 || w.retired || !w.ready || w.waitsForCarries(now) || ps.unmet && now.Sub(ps.unmetAt) < unmetClaimRetry {
 		return
 	}
 	v := w.view(now, p, ps, worstCase)
@@ -376,9 +389,10 @@
 		return
 	}
 	want := target - v.Free
-	if want <= 0 || v.Available <= 0 && worstCase == 0 {
+	if want <= 0 || v.Available <= 0 && worstCase == 0 || w.mustCarry(p, ps) {
 		return
 	}
+	ps.hasClaimed = true
 	bound := w.newBound(now, p, ps, worstCase)
 	ps.claimSeq = w.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Claim{Claim: &kcrentry.Claim{
 		Plan: string(p), Tokens: int64(want), Bound: bound.toEntry(),
@@ -413,7 +427,14 @@
 // confirm handles a record of this wallet that was read back from the stream.
 func (w *Wallet) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
 	w.outbox.Confirm(e.GetSeq())
+	w.confirmRestated(e.GetSeq())
 	switch {
+	case e.GetCarry() != nil:
+		if ps := w.planState(kcrid.Plan(e.GetCarry().GetPlan())); ps.carrySeq == e.GetSeq() {
+			ps.carrySeq = 0
+		}
+	case e.GetRestate() != nil:
+		w.planState(kcrid.Plan(e.GetRestate().GetPlan())).confirmBound(e.GetSeq(), eff.Kind == Restated)
 	case e.GetClaim() != nil:
 		ps := w.planState(kcrid.Plan(e.GetClaim().GetPlan()))
 		if ps.claimSeq == e.GetSeq() {
@@ -589,7 +610,7 @@
 	h := xxhash.New()
 	_, state, err := w.ledger.Snapshot()
 	_, _ = h.Write(state)
-	_, _ = fmt.Fprint(h, err, w.ready, w.retired, w.reportedAt, w.lastRecordAt)
+	_, _ = fmt.Fprint(h, err, w.ready, w.retired, w.reportedAt, w.lastRecordAt, w.era, w.queuedEra, w.restateSeq, w.waitUntil)
 	records, last := w.outbox.Batch(math.MaxInt)
 	for _, r := range records {
 		_, _ = h.Write(r)
--- a/kernel/kcrbudget/wallet_test.go
+++ b/kernel/kcrbudget/wallet_test.go
@@ -52,6 +52,7 @@
 	rules        rules
 	now          kcrclock.Time
 	bootedAt     kcrclock.Time // boot time of the machines that start from now on
+	era          uint64        // of the stream
 	stream       [][]byte
 	delayed      [][][]byte
 	routers      []*router
@@ -88,6 +89,9 @@
 	if r.dead || r.disconnected {
 		return
 	}
+	if r.wallet.BeginEra(f.now, f.era) {
+		r.applied = 0
+	}
 	for ; r.applied < len(f.stream); r.applied++ {
 		e := &kcrentry.Entry{}
 		if proto.Unmarshal(f.stream[r.applied], e) == nil {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -161,6 +161,7 @@
 			home.changed.Broadcast()
 		},
 		Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch,
+		BeginEra: func(era uint64) bool { return w.BeginEra(c.Clock.Now(), era) },
 		MarkReady: func() {
 			w.MarkReady()
 			home.changed.Broadcast()
@@ -187,6 +188,9 @@
 	if v := req.GetVersion(); v > 0 {
 		home.wallet.SetLimit(plan, v, kcrid.Tokens(req.GetPrepaid()))
 	}
+	if used := kcrid.Tokens(req.GetUsed()); used > 0 {
+		home.wallet.NoteUsed(plan, req.GetEra(), used)
+	}
 	lent := &kcrwire.Lent{}
 	if back := kcrid.Tokens(req.GetBack()); back > 0 {
 		home.wallet.AddReturned(plan, back)
@@ -194,6 +198,7 @@
 	} else {
 		loan := h.lendOrWait(home, plan, kcrid.Tokens(req.GetNeed()), kcrid.Tokens(req.GetTokens()))
 		lent.Tokens, lent.Code, lent.Left = int64(loan.Tokens), loan.Outcome.String(), int64(loan.Unspent)
+		lent.Used, lent.Era = int64(loan.Used), loan.Era
 	}
 	return &kcrwire.Reply{Kind: &kcrwire.Reply_Lent{Lent: lent}}
 }
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -148,6 +148,7 @@
 				n.escrowChanged.Broadcast()
 			},
 			Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, MarkReady: w.MarkReady,
+			BeginEra:         func(era uint64) bool { return w.BeginEra(n.clock.Now(), era) },
 			IsSnapshotWriter: func() bool { return w.IsSnapshotWriter(n.clock.Now()) },
 			ReadDelay:        n.budgetReadPause,
 		}, c.Logger, c.SnapshotInterval.Std())
--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -118,6 +118,7 @@
 		n.returnExcess(b)
 	}
 	b.wallet.SetUnspent(now, plan, loan.Unspent)
+	b.wallet.NoteUsed(plan, loan.Era, loan.Used)
 	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
 		"need", int64(need), "wanted", int64(want), "left", int64(loan.Unspent), "code", loan.Outcome.String())
 	if loan.Tokens > 0 || loan.Outcome == kcrbudget.BudgetExhausted {
@@ -138,6 +139,7 @@
 	lent := reply.GetLent()
 	return kcrbudget.Loan{
 		Tokens: kcrid.Tokens(lent.GetTokens()), Outcome: kcrbudget.ParseReserveOutcome(lent.GetCode()), Unspent: kcrid.Tokens(lent.GetLeft()),
+		Used: kcrid.Tokens(lent.GetUsed()), Era: lent.GetEra(),
 	}, nil
 }
 
@@ -210,9 +212,12 @@
 }
 
 // loanRequest returns the request for a loan of need to want tokens. It includes
-// the prepaid amount of the plan, which the home writes to the ledger.
+// the prepaid amount of the plan, which the home writes to the ledger, and the used tokens
+// that a home has told.
 func (n *Node) loanRequest(plan kcrid.Plan, need, want kcrid.Tokens) *kcrwire.Lend {
 	req := &kcrwire.Lend{Plan: string(plan), Need: int64(need), Tokens: int64(want)}
+	era, used := n.bucketOf(kcrid.Team(plan)).wallet.NotedUsed(plan)
+	req.Used, req.Era = int64(used), era
 	if r := n.rules.Rules(); r != nil {
 		if t := r.TeamByName(kcrid.Team(plan)); t != nil && t.Prepaid >= 0 {
 			req.Version, req.Prepaid = r.Version, int64(t.Prepaid)
