A router asks a few peers whether the store gives the newest configuration

A router that started just after the store had come back from an older copy took version 3 from there and kept it, while its peers had 5: it asked them only while the store did not answer.

--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -89,8 +89,9 @@
 	pool              *kcrlink.Pool
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
-	configUnavailable atomic.Bool // the store does not provide the configuration
-	bansLost          atomic.Bool // the peer stream may lack records of bans
+	configUnavailable atomic.Bool  // the store does not provide the configuration
+	configDoubts      atomic.Int32 // peers to ask whether they have a newer configuration than the store
+	bansLost          atomic.Bool  // the peer stream may lack records of bans
 	stopping          atomic.Bool
 	updating          sync.Mutex  // held while upstreams are passed on
 	entriesChanged    atomic.Bool // entries were applied that updateUpstreams has not passed on
@@ -137,6 +138,7 @@
 		parseRules:    c.ParseRules,
 	}
 	n.configUnavailable.Store(true)
+	n.DoubtConfig()
 	if c.ControlAddr != "" {
 		if n.server, err = kcrlink.Listen(c.ControlAddr, n.handlePeerRequest); err != nil {
 			return nil, err
@@ -273,6 +275,10 @@
 // it does, the node asks its peers for it.
 func (n *Node) SetConfigUnavailable(unavailable bool) { n.configUnavailable.Store(unavailable) }
 
+// DoubtConfig tells that the store may provide an older configuration than it has before. The
+// node asks some of its peers for a newer one.
+func (n *Node) DoubtConfig() { n.configDoubts.Store(doubtedFetches) }
+
 // ApplyEntry adds or updates the entry of an upstream. It takes effect with the next call
 // of EntriesApplied.
 func (n *Node) ApplyEntry(m kcrfleet.Member) {
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -34,6 +34,9 @@
 	initialFetchDelay = 400 * time.Millisecond
 	// fetchInterval is the time in which each peer is asked once.
 	fetchInterval = 500 * time.Millisecond
+	// doubtedFetches is how many peers are asked for a newer configuration after the start, and
+	// when the store has come back from an older copy.
+	doubtedFetches = 3
 	// fetchTimeout bounds one request to a peer.
 	fetchTimeout = 300 * time.Millisecond
 )
@@ -67,12 +70,13 @@
 }
 
 // fetchFromPeers asks the peers, one after the other, while the store does not
-// provide the configuration.
+// provide the configuration, and a few of them while it may provide an older one.
 func (n *Node) fetchFromPeers(ctx context.Context, configuredPeers []string) {
 	kcrdaemon.Sleep(ctx, initialFetchDelay)
 	for i := 0; ctx.Err() == nil; i++ {
 		addrs := n.peerAddrs(configuredPeers)
-		if n.configUnavailable.Load() && len(addrs) > 0 {
+		if len(addrs) > 0 && (n.configUnavailable.Load() || n.configDoubts.Load() > 0) {
+			n.configDoubts.Store(max(0, n.configDoubts.Load()-1))
 			n.fetchFromPeer(ctx, addrs[i%len(addrs)])
 		}
 		kcrdaemon.Sleep(ctx, fetchInterval/time.Duration(max(1, len(addrs))))
