A stream goes on only at the software version that began it

The version in the entries of upstreams was not decoded, and the header that names the attempt that began a stream was not read. Class: what the other side says and nobody reads.

The first event that a caller gets fixes the version of its stream; later runs of the answer, and of answers that take the stream up, go to upstreams of that version only. A router notes it and tells two processes beside upstreams of the version, which are of use for as long as such upstreams are; a router that gets a stream taken up asks them, then its peers. Where nobody knows it, or no upstream of the version is left, the request is rejected at once: engines don't check, and even where only one version is seen the other may just have left.

Weighed: noting the attempt before its first event (a retry at another version would have to change the note, and a lost change joins versions); the store (priced, and late in outages); versions by service only, without attempts (all that is under way when a version comes is lost).

--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -24,6 +24,7 @@
 	Addr     string
 	Home     string // address of the Kingcuprun process on the same machine, "" for none
 	Zone     kcrid.Zone
+	Version  string            // of its software, "" if unknown; versions have no order
 	Slots    int               // requests that it runs at once
 	Draining bool              // finishes its requests and takes no new ones
 	Cold     kcrclock.Duration // how long it is still slow after its start
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -41,6 +41,7 @@
 	Service         kcrid.Service
 	Addr            string
 	Zone            kcrid.Zone
+	Version         string            // of its software, "" if unknown
 	Slots           int               // requests that it runs at once
 	StartedAt       int64             // start of the process; a new value means a restart
 	WarmupRemaining kcrclock.Duration // how long it is still slow after its start
@@ -71,6 +72,7 @@
 	PromptParts   []PromptPart // none for a request without a prompt
 	PromptTokens  kcrid.Tokens // length of the whole prompt
 	TransferBytes int          // size of the request and its response
+	Version       string       // upstreams of other versions are not chosen, "" for any
 	Excluded      []kcrid.VM   // upstreams of earlier attempts, which are not chosen again
 	Unlimited     bool         // upstreams with a rate limit are not chosen
 }
@@ -292,7 +294,7 @@
 	s.rotation++
 	for i := range s.upstreams {
 		u := s.upstreams[(i+s.rotation)%len(s.upstreams)]
-		if contains(req.Excluded, u.ID) || u.isWithheld(now) || req.Unlimited && u.rateLimit.Named {
+		if contains(req.Excluded, u.ID) || req.Version != "" && u.Version != req.Version || u.isWithheld(now) || req.Unlimited && u.rateLimit.Named {
 			continue
 		}
 		cost, uncached := t.cost(now, s, u, req, u == preferred)
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -82,7 +82,7 @@
 // placementRequest returns the criteria by which an upstream is chosen. Upstreams of
 // earlier attempts are excluded.
 func (x *exchange) placementRequest() kcrplacement.Request {
-	req := kcrplacement.Request{Service: x.service, TransferBytes: len(x.body) + plainOverheadBytes}
+	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
 		req.TransferBytes = len(x.body) + streamOverheadBytes
@@ -161,6 +161,9 @@
 
 // noUpstreamReason returns why there is no upstream for an attempt.
 func (x *exchange) noUpstreamReason() string {
+	if x.version != "" {
+		return "no upstream of version " + x.version + ", which began the stream"
+	}
 	if x.gateway.table.HasLimited(x.service) {
 		return reasonLimited
 	}
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -150,6 +150,8 @@
 	deadline          kcrclock.Time
 	content           kcrid.ContentHash // hash of target, team and body, 0 before admission
 	attempts          []attemptRecord   // ended attempts, in order
+	version           string            // of the upstreams that may go on with the stream, "" for any before its first event
+	begun             bool              // the caller has the first event of the stream, from this exchange or an earlier one
 	runs              int               // attempts whose request was written at least in part
 	firstLatency      kcrclock.Duration // until the response or the first event, 0 before
 	deliveredEvents   int               // events of the stream that were passed to the caller
--- a/router/kcrgateway/failures_test.go
+++ b/router/kcrgateway/failures_test.go
@@ -160,7 +160,7 @@
 		done := make(chan string, 1)
 		go func() { _, body, _ := roundTrip(t, gw, path, ""); done <- body }()
 		waitFor(t, "the request at the upstream", func() bool { return u.requestCount.Load() == 1 })
-		gw.table.Update(0, []kcrplacement.Upstream{{ID: "other", Service: "s", Addr: other.listener.Addr().String(), Zone: "z", Slots: 8}})
+		gw.table.Update(0, []kcrplacement.Upstream{{ID: "other", Service: "s", Addr: other.listener.Addr().String(), Zone: "z", Version: "v1", Slots: 8}})
 		close(listed)
 		if body := <-done; body != formatEvents(3) || other.requestCount.Load() != 0 {
 			t.Errorf("%s: expected the whole stream of one run, got %q and %d others", path, body, other.requestCount.Load())
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -70,6 +70,12 @@
 	// requests per second. If there is none, it returns the time until it is worth asking again.
 	// It may block for a moment.
 	TakePermit func(upstream kcrid.Incarnation, rate float64) (granted bool, wait kcrclock.Duration)
+	// NoteOrigin is called with the request that brought the first event of a stream, and the
+	// version of the upstream that began it.
+	NoteOrigin func(request, version string)
+	// FindOrigin returns the version that began the stream of such a request, on this or another
+	// router. It may block for a moment.
+	FindOrigin func(request string) (version string, known bool)
 	// OnCrash is called with each crash that Crashes counts.
 	OnCrash func(kcrcrash.Crash)
 	// OnContentCleared is called with a content of Crashes that other routers must clear.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -33,7 +33,7 @@
 func headerNames() kcrgateway.HeaderNames {
 	return kcrgateway.HeaderNames{
 		RequestID: "X-Id", APIKey: "X-Key", Team: "X-Team", Deadline: "X-Deadline", UpstreamID: "X-Instance", DeclaredTokens: "X-Usage",
-		PromptParts: "X-Parts", LastEventID: "X-Resume", Signature: "X-Signature", NotRun: "X-Not-Run", RetryAfter: "Retry-After", Priority: "X-Urgency", RateLimit: "X-Rate",
+		PromptParts: "X-Parts", LastEventID: "X-Resume", FirstAttempt: "X-First", Signature: "X-Signature", NotRun: "X-Not-Run", RetryAfter: "Retry-After", Priority: "X-Urgency", RateLimit: "X-Rate",
 		InternalFields:    []string{"X-Hold"},
 		CallerIdleTimeout: func(_, _ kcrclock.Duration) kcrclock.Duration { return kcrclock.Duration(idleTimeout.Milliseconds()) },
 	}
@@ -197,7 +197,7 @@
 		}))
 	var members []kcrplacement.Upstream
 	for _, u := range upstreams {
-		members = append(members, kcrplacement.Upstream{ID: kcrid.VM(u.id), Service: "s", Addr: u.listener.Addr().String(), Zone: "z", Slots: 8})
+		members = append(members, kcrplacement.Upstream{ID: kcrid.VM(u.id), Service: "s", Addr: u.listener.Addr().String(), Zone: "z", Version: "v1", Slots: 8})
 	}
 	gw.table.Update(clock.Now(), members)
 	g, err := kcrgateway.New(kcrgateway.Config{
@@ -211,6 +211,7 @@
 			}
 			return true, 0
 		},
+		NoteOrigin: func(string, string) {}, FindOrigin: func(string) (string, bool) { return "", false },
 		OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
 		PartSuspects: kcrcrash.NewPartSuspects(3), OnPartLevels: func([]kcrcrash.PartLevel) {},
 	})
@@ -228,7 +229,7 @@
 	var members []kcrplacement.Upstream
 	for i, u := range []*upstream{near, far} {
 		members = append(members, kcrplacement.Upstream{
-			ID: kcrid.VM(u.id), Service: "s", Addr: u.listener.Addr().String(), Zone: []kcrid.Zone{"z", "y"}[i], Slots: 8,
+			ID: kcrid.VM(u.id), Service: "s", Addr: u.listener.Addr().String(), Zone: []kcrid.Zone{"z", "y"}[i], Version: "v1", Slots: 8,
 		})
 	}
 	gw.table.Update(0, members)
--- a/router/kcrgateway/header_names.go
+++ b/router/kcrgateway/header_names.go
@@ -17,6 +17,7 @@
 	DeclaredTokens string // PROMPT,OUTPUT: prompt tokens and the maximum of output tokens
 	PromptParts    string // ID:TOKENS, … for the parts of the prompt
 	LastEventID    string // ID of the last event that the caller has received
+	FirstAttempt   string // RequestID of the attempt that brought the first event of the stream that the caller takes up
 	Signature      string // an upstream's signature of its response
 	NotRun         string // present if the upstream did not run the request
 	RetryAfter     string // seconds until the caller may retry
--- a/router/kcrgateway/limit_test.go
+++ b/router/kcrgateway/limit_test.go
@@ -66,7 +66,7 @@
 	if n := far.requestCount.Load(); n != 1 {
 		t.Errorf("expected 1 request at the other upstream, got %d", n)
 	}
-	gw.table.Update(0, []kcrplacement.Upstream{{ID: "near", Service: "s", Addr: near.listener.Addr().String(), Zone: "z", Slots: 8}})
+	gw.table.Update(0, []kcrplacement.Upstream{{ID: "near", Service: "s", Addr: near.listener.Addr().String(), Zone: "z", Version: "v1", Slots: 8}})
 	time.Sleep(2 * wait)
 	permits.Store(1)
 	send("with a permit", 200, 2, 2)
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -114,8 +114,12 @@
 // from another attempt.
 const reasonNoRetryLeft = "; the retry budget is used up"
 
-// mayRetry reports whether the request may be sent to another upstream.
+// mayRetry reports whether the request may be sent to another upstream. A stream that an
+// upstream of unknown version began goes on nowhere.
 func (x *exchange) mayRetry() bool {
+	if x.begun && x.version == "" {
+		return false
+	}
 	return !x.interrupted() && x.remaining() > 0 && (!x.mayHaveRun || x.route.Rerunnable() && x.runs < x.route.MaxRuns)
 }
 
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -70,10 +70,29 @@
 	if reason := x.banReason(); reason != "" {
 		return x.refuse(statusUnavailable, reason, retryAfterLong)
 	}
+	if !x.findOrigin() {
+		return x.refuse(statusUnavailable, "the version that began the stream is not known", retryAfterMedium)
+	}
 	x.gateway.retryWindow(x.service).RecordRequest(x.started)
 	return true
 }
 
+// findOrigin finds the version that began the stream that the caller takes up, if it does. It
+// returns false if that is not known: a guess may join two versions, even where all upstreams
+// are of one, since those of another may have left.
+func (x *exchange) findOrigin() bool {
+	names := &x.gateway.headerNames
+	if x.route.Kind != kcrrule.Stream || !x.head.Has(names.LastEventID) {
+		return true
+	}
+	x.begun = true
+	known := false
+	if first := x.head.Get(names.FirstAttempt); first != "" {
+		x.version, known = x.gateway.config.FindOrigin(first)
+	}
+	return known
+}
+
 // banReason returns why the request must not run since it crashes upstreams, "" if it may.
 func (x *exchange) banReason() string {
 	if x.gateway.config.Crashes.Banned(x.content) {
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -14,7 +14,7 @@
 // events, each once and in order; a stream that its upstream did not complete never
 // ends like a complete one; a stream is resumed on another upstream only if the
 // route allows it, and only after the connection of the previous run was closed,
-// which ends that run.
+// which ends that run; it goes on only at the software version that began it.
 
 // When a silent engine is probed by opening a connection to it, and when it is
 // given up.
@@ -135,7 +135,7 @@
 
 // canMove reports whether the stream may be resumed on another upstream.
 func (s *streamForwarder) canMove() bool {
-	return s.x.route.Resumable && s.x.runs < s.x.route.MaxRuns && !s.kept
+	return s.x.route.Resumable && (!s.x.begun || s.x.version != "") && s.x.runs < s.x.route.MaxRuns && !s.kept
 }
 
 // recordProgress records that the current run has made progress, or starts.
@@ -273,6 +273,10 @@
 		return reason
 	}
 	a.events += x.deliveredEvents - delivered
+	if !x.begun {
+		x.begun, x.version = true, a.choice.Version
+		x.gateway.config.NoteOrigin(x.id, x.version)
+	}
 	c := x.caller
 	buf := c.writeBuf[:0]
 	if cap(buf) < readBufSize {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -25,6 +25,7 @@
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrorigin"
 	"kingcuprun.example/kernel/kcrpermit"
 	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
@@ -34,7 +35,7 @@
 // This file defines the host, which opens a home for a bucket when a router first
 // asks for a loan from it, and closes homes that are idle. It also issues the permits for
 // upstreams with a rate limit: for the one beside it, and for others that have no process
-// beside them. Invariants: each home that is opened has a holder name of its own on the
+// beside them; and it remembers for routers which version of an upstream began a stream. Invariants: each home that is opened has a holder name of its own on the
 // ledger; a host lends only to routers that use the same number of buckets.
 
 // Config contains the settings and dependencies of a Host.
@@ -56,6 +57,7 @@
 	config    Config
 	startedAt kcrclock.Time     // on the clock of Config.BootClock
 	permits   *kcrpermit.Issuer // for upstreams with a rate limit
+	origins   *kcrorigin.Register
 	server    *kcrlink.Server
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
@@ -95,7 +97,7 @@
 // New starts a host. It opens no home until a router asks for a loan.
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
-	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), homes: map[kcrid.Bucket]*bucketHome{}}
+	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), homes: map[kcrid.Bucket]*bucketHome{}}
 	if h.server, err = kcrlink.Listen(c.ListenAddr, h.handleRequest); err != nil {
 		return nil, err
 	}
@@ -110,18 +112,27 @@
 
 // handleRequest answers a request of a router.
 func (h *Host) handleRequest(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
-	reply := &kcrwire.Reply{Error: "expected lend or permit"}
+	reply := &kcrwire.Reply{Error: "expected lend, permit or origin"}
 	switch k := req.GetKind().(type) {
 	case *kcrwire.Request_Lend:
 		reply = h.handleLend(k.Lend)
 	case *kcrwire.Request_Permit:
 		reply = h.handlePermit(k.Permit)
+	case *kcrwire.Request_Origin:
+		reply = h.handleOrigin(k.Origin)
 	}
 	if err := s.Send(reply); err != nil {
 		h.config.Logger.Info("reply to a router not sent", "err", err.Error())
 	}
 }
 
+// handleOrigin notes, or tells, which version began a stream.
+func (h *Host) handleOrigin(req *kcrwire.Origin) *kcrwire.Reply {
+	h.origins.Note(h.config.Clock.Now(), req.GetAttempt(), req.GetVersion())
+	version, _ := h.origins.Find(req.GetAttempt())
+	return &kcrwire.Reply{Kind: &kcrwire.Reply_Origin{Origin: &kcrwire.Origin{Attempt: req.GetAttempt(), Version: version}}}
+}
+
 // handlePermit answers a router that has a request for an upstream with a rate limit.
 func (h *Host) handlePermit(req *kcrwire.Permit) *kcrwire.Reply {
 	granted, wait := h.permits.Take(h.config.Clock.Now(), kcrid.Incarnation(req.GetServer()), req.GetRate())
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -83,6 +83,7 @@
 	escrowChanged     *kcrdaemon.Signal // wakes requests that wait for escrow
 	homes             *homeDirectory
 	permits           *permitDesk
+	origins           *originDesk
 	loans             prometheus.Counter // loans started
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
@@ -132,6 +133,7 @@
 		escrowChanged: kcrdaemon.NewSignal(),
 		homes:         newHomeDirectory(),
 		permits:       newPermitDesk(),
+		origins:       newOriginDesk(),
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
@@ -147,7 +149,7 @@
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
-		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit,
+		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle},
 	})
 	if err != nil {
@@ -283,7 +285,7 @@
 // of EntriesApplied.
 func (n *Node) ApplyEntry(m kcrfleet.Member) {
 	if n.fleet.ApplyEntry(n.clock.Now(), m) {
-		n.logger.Info("upstream entry changed", "id", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone),
+		n.logger.Info("upstream entry changed", "id", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone), "version", m.Version,
 			"draining", m.Draining, "born", m.Born, "seq", m.Sequence)
 		n.entriesChanged.Store(true)
 	}
@@ -335,6 +337,7 @@
 	var upstreams []kcrplacement.Upstream
 	var homes, leaving []string
 	beside := map[kcrid.VM]string{}
+	homesByVersion := map[string][]string{}
 	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
 		if m.Draining {
@@ -342,17 +345,19 @@
 			continue
 		}
 		upstreams = append(upstreams, kcrplacement.Upstream{
-			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold,
+			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold,
 		})
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
 			beside[m.ID] = m.Home
+			homesByVersion[m.Version] = append(homesByVersion[m.Version], m.Home)
 		}
 	}
 	n.table.Update(n.clock.Now(), upstreams)
 	if rules != nil && n.fleet.HasMembers() {
 		n.homes.update(n.clock.Now(), homes, leaving)
 		n.permits.update(beside)
+		n.origins.update(homesByVersion)
 	}
 }
 
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -47,8 +47,11 @@
 	switch k := req.GetKind().(type) {
 	case *kcrwire.Request_Lists:
 		reply = n.handleLists(k.Lists)
+	case *kcrwire.Request_Origin:
+		version, _ := n.origins.register.Find(k.Origin.GetAttempt())
+		reply = &kcrwire.Reply{Kind: &kcrwire.Reply_Origin{Origin: &kcrwire.Origin{Attempt: k.Origin.GetAttempt(), Version: version}}}
 	default:
-		reply = &kcrwire.Reply{Error: "expected lists"}
+		reply = &kcrwire.Reply{Error: "expected lists or origin"}
 	}
 	if err := s.Send(reply); err != nil {
 		n.logger.Info("reply to a peer not sent", "err", err.Error())
