Processes beside leaving upstreams are asked for the version of a stream too

Their streams are now rejected as ones whose version has left, with a long Retry-After. The line of a request names the version of its stream.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -159,10 +159,13 @@
 // room.
 const reasonLimited = "the rate limits of the upstreams leave no room"
 
+// reasonVersionGone is the reason of a stream of which no upstream is left that may go on with it.
+const reasonVersionGone = "no upstream of the version that began the stream"
+
 // noUpstreamReason returns why there is no upstream for an attempt.
 func (x *exchange) noUpstreamReason() string {
 	if x.version != "" {
-		return "no upstream of version " + x.version + ", which began the stream"
+		return reasonVersionGone
 	}
 	if x.gateway.table.HasLimited(x.service) {
 		return reasonLimited
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -61,8 +61,11 @@
 	case x.upstreamError != nil:
 		x.writeResponse(x.upstreamError.head, x.upstreamError.body)
 	case !x.mayHaveRun && x.remaining() > 0:
-		if reason == reasonLimited {
+		switch {
+		case reason == reasonLimited:
 			retryAfter = retryAfterMedium
+		case reason == reasonVersionGone:
+			retryAfter = retryAfterLong
 		}
 		x.respond(statusUnavailable, reason, retryAfter)
 	case x.remaining() <= 0:
@@ -162,7 +165,7 @@
 	}
 	x.gateway.logger.LogAttrs(logContext, level, "request",
 		slog.String("req", x.id), slog.String("team", x.teamName()), slog.String("route", route), slog.Uint64("config", version),
-		slog.String("service", string(x.service)), slog.String("outcome", x.outcome), slog.String("why", x.reason), slog.Uint64("content", content),
+		slog.String("service", string(x.service)), slog.String("version", x.version), slog.String("outcome", x.outcome), slog.String("why", x.reason), slog.Uint64("content", content),
 		slog.Int64("ms", int64(duration)), slog.Int64("wait", int64(x.budgetWait)), slog.Int64("first", int64(x.firstLatency)), slog.Int("events", x.deliveredEvents), slog.Int64("pause", int64(x.longestGap)),
 		slog.Int64("prompt", int64(x.usage.prompt)), slog.Int64("spent", int64(x.spentTokens)), slog.String("tries", formatAttempts(x.attempts)))
 }
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -337,11 +337,14 @@
 	var upstreams []kcrplacement.Upstream
 	var homes, leaving []string
 	beside := map[kcrid.VM]string{}
-	homesByVersion := map[string][]string{}
+	homesByVersion, leavingByVersion := map[string][]string{}, map[string][]string{}
 	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
 		if m.Draining {
 			leaving = append(leaving, m.Home)
+			if m.Home != "" {
+				leavingByVersion[m.Version] = append(leavingByVersion[m.Version], m.Home)
+			}
 			continue
 		}
 		upstreams = append(upstreams, kcrplacement.Upstream{
@@ -357,7 +360,7 @@
 	if rules != nil && n.fleet.HasMembers() {
 		n.homes.update(n.clock.Now(), homes, leaving)
 		n.permits.update(beside)
-		n.origins.update(homesByVersion)
+		n.origins.update(homesByVersion, leavingByVersion)
 	}
 }
 
--- a/router/kcrnode/origin.go
+++ b/router/kcrnode/origin.go
@@ -38,17 +38,19 @@
 	register *kcrorigin.Register
 	telling  atomic.Int64 // streams that are being told
 
-	mu    sync.Mutex
-	homes map[string][]string // addresses of the processes beside upstreams, by their version
+	mu      sync.Mutex
+	homes   map[string][]string // addresses of the processes beside upstreams, by their version
+	leaving map[string][]string // the same of upstreams that take no new requests
 }
 
 func newOriginDesk() *originDesk { return &originDesk{register: kcrorigin.New()} }
 
-// update replaces the processes beside upstreams.
-func (d *originDesk) update(homes map[string][]string) {
+// update replaces the processes beside upstreams, and those beside upstreams that take no new
+// requests.
+func (d *originDesk) update(homes, leaving map[string][]string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.homes = homes
+	d.homes, d.leaving = homes, leaving
 }
 
 // holders returns the processes beside upstreams of a version that are told of a stream, in
@@ -63,11 +65,13 @@
 // asked returns the processes that may know the version of a stream.
 func (d *originDesk) asked(attempt string) (addrs []string) {
 	d.mu.Lock()
-	byVersion := d.homes
+	groups := []map[string][]string{d.homes, d.leaving}
 	d.mu.Unlock()
-	for _, homes := range byVersion {
-		ranked := rankFor(attempt, homes)
-		addrs = append(addrs, ranked[:min(len(ranked), originAsked)]...)
+	for _, byVersion := range groups {
+		for _, homes := range byVersion {
+			ranked := rankFor(attempt, homes)
+			addrs = append(addrs, ranked[:min(len(ranked), originAsked)]...)
+		}
 	}
 	return addrs
 }
