An answer that is no stream is not joined to a stream that has broken off

A stream had begun and broken off; the next upstream answered 200 with a body that was no event stream, and its text stood in the caller's stream, which ended as if it were complete. A run that goes on with a stream now has to have the type of content of the first, and IDs on its events.

--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -44,6 +44,8 @@
 type streamForwarder struct {
 	x           *exchange
 	headSent    bool                  // the response head was written to the caller
+	contentType string                // of that head
+	resumed     bool                  // the current run goes on with the stream of an earlier one
 	lastEventID int64                 // of the last event that the caller has, -1 if it is unknown
 	progressAt  kcrclock.Time         // of the last event of the current run that was not a comment; initially its start
 	probed      bool                  // the engine was reachable after that
@@ -100,6 +102,12 @@
 	if a.head.Status >= 300 {
 		return s.forwardOtherResponse(a)
 	}
+	s.resumed = s.headSent
+	if s.resumed && a.head.Get("Content-Type") != s.contentType {
+		reason = "an answer that is no stream"
+		a.end(kcrplacement.ErrorResponse, reason)
+		return reason
+	}
 	s.events.Reset()
 	s.recordProgress()
 	reason = s.forwardEvents(a)
@@ -284,7 +292,7 @@
 	}
 	x.recordGap()
 	if !s.headSent {
-		s.headSent = true
+		s.headSent, s.contentType = true, a.head.Get("Content-Type")
 		x.firstLatency = x.gateway.clock.Now().Sub(x.started)
 		buf = x.appendResponseHead(buf, a.head, -1)
 	}
@@ -303,7 +311,7 @@
 
 // takeNewEvents returns the complete events that the caller has not received. An
 // event whose ID does not follow the last one ends the run, and its reason is
-// returned.
+// returned; so does one without an ID where a run goes on with the stream of another.
 func (s *streamForwarder) takeNewEvents() (data []byte, reason string) {
 	for {
 		event, ok := s.events.Next()
@@ -312,6 +320,8 @@
 			return data, ""
 		case event.ID >= 0 && event.ID <= s.lastEventID:
 			continue
+		case event.ID < 0 && s.resumed && !event.IsComment():
+			return data, "an event without an ID"
 		case event.ID >= 0 && s.lastEventID >= 0 && event.ID != s.lastEventID+1:
 			return data, "event " + strconv.FormatInt(event.ID, 10) + " after " + strconv.FormatInt(s.lastEventID, 10)
 		}
