A stream that breaks off for a caller of HTTP/1.0 ends with a reset

A stream for such a caller has no length and no chunks: a plain close is its end, so that one that broke off looked complete. The connection is now reset, also where a stop cuts the stream off. The test failed before: all bytes came, and then the end of the file.

--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -129,6 +129,13 @@
 	return err
 }
 
+// resetOnClose makes the close of the connection reset it.
+func (c *callerConn) resetOnClose() {
+	if conn, ok := c.conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+}
+
 // exchange is one request of a caller with its attempts and its outcome.
 type exchange struct {
 	gateway    *Gateway
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -347,8 +347,11 @@
 	for conn, state := range g.conns {
 		if state.busy {
 			id := ""
-			if state.exchange != nil {
-				id = state.exchange.head.Get(g.headerNames.RequestID)
+			if x := state.exchange; x != nil {
+				id = x.head.Get(g.headerNames.RequestID)
+				if x.head.IsHTTP10 {
+					x.caller.resetOnClose()
+				}
 			}
 			g.logger.Warn("request cut off", "req", id, "caller", conn.RemoteAddr().String(), "accepted", int64(now.Sub(state.acceptedAt)), "began", int64(now.Sub(state.busySince)))
 		}
--- a/router/kcrgateway/splice_test.go
+++ b/router/kcrgateway/splice_test.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// TestBrokenStreamLooksBrokenToHTTP10 guards against a stream that breaks off and ends with a
+// plain close, which is the end of a complete answer to a caller of HTTP/1.0.
+func TestBrokenStreamLooksBrokenToHTTP10(t *testing.T) {
+	t.Parallel()
+	only := newUpstream(t, "only", breakingStream)
+	data, err := getStream(t, newTestGateway(t, only), "HTTP/1.0")
+	if !strings.Contains(data, "data: a") || err == nil {
+		t.Fatalf("expected events and a reset connection, got %q and %v", data, err)
+	}
+}
+
 // TestRepeatedRefusalBelongsToNoRequest guards against an earlier refusal that an upstream sends
 // once more on a kept connection: the request that is under way there has run.
 func TestRepeatedRefusalBelongsToNoRequest(t *testing.T) {
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -72,7 +72,8 @@
 }
 
 // fail ends a stream that is incomplete. If the caller has received its head, the
-// connection closes without the end of the body.
+// connection closes without the end of the body: for HTTP/1.0 it is reset, since a plain close
+// is the end.
 func (s *streamForwarder) fail(reason string) {
 	x := s.x
 	if !s.headSent {
@@ -80,6 +81,9 @@
 		return
 	}
 	x.closeAfter = true
+	if x.head.IsHTTP10 {
+		x.caller.resetOnClose()
+	}
 	x.outcome, x.reason = outcomeBrokenOff, reason
 	switch {
 	case x.callerLeft.Load():
