--- a/kernel/kcrbudget/restore_test.go
+++ b/kernel/kcrbudget/restore_test.go
@@ -1,7 +1,6 @@
 package kcrbudget_test
 
 import (
-	"fmt"
 	"testing"
 
 	"kingcuprun.example/kernel/kcrid"
@@ -51,5 +50,5 @@
 	if 4*spent < limits {
 		t.Fatalf("expected a quarter of %d tokens to be served under these faults, got %d", limits, spent)
 	}
-	t.Log(fmt.Sprintf("%d of %d tokens were spent", spent, limits))
+	t.Logf("%d of %d tokens were spent", spent, limits)
 }
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -61,10 +61,10 @@
 	case x.upstreamError != nil:
 		x.writeResponse(x.upstreamError.head, x.upstreamError.body)
 	case !x.mayHaveRun && x.remaining() > 0:
-		switch {
-		case reason == reasonLimited:
+		switch reason {
+		case reasonLimited:
 			retryAfter = retryAfterMedium
-		case reason == reasonVersionGone:
+		case reasonVersionGone:
 			retryAfter = retryAfterLong
 		}
 		x.respond(statusUnavailable, reason, retryAfter)
