Upstreams that say in their answers that they leave, or want nothing, get nothing

Leaving ends only with a later start, also if the entry says ready or was missing for a while; a time that is no sensible one is ignored and logged once.

--- /dev/null
+++ b/kernel/kcrplacement/notice.go
@@ -0,0 +1,74 @@
+package kcrplacement
+
+import (
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrid"
+)
+
+// This file defines what an upstream says in its responses about further requests: that it
+// leaves, or that it wants none for a time. Invariants: an upstream that has said that it leaves
+// is chosen no more before it starts again, whatever its entry says or whether it was missing for
+// a while; one that wants no requests is not chosen before it does.
+
+const (
+	// maxPause bounds the time for which an upstream may want no requests.
+	maxPause = kcrclock.Minute
+	// maxLeaving bounds the upstreams of a service that are remembered to leave; beyond it, all
+	// of them are forgotten.
+	maxLeaving = 4096
+)
+
+// Leaves records that the upstream is leaving, and reports whether that is new.
+func (c *Choice) Leaves() (isNew bool) {
+	s := c.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaves(c.ID, c.StartedAt) {
+		return false
+	}
+	if len(s.leaving) >= maxLeaving {
+		clear(s.leaving)
+	}
+	s.leaving[c.ID] = c.StartedAt
+	return true
+}
+
+// leaves reports whether an upstream has said that it leaves since it started.
+func (s *service) leaves(id kcrid.VM, startedAt int64) bool {
+	left, ok := s.leaving[id]
+	return ok && startedAt <= left
+}
+
+// Pauses records that the upstream wants no requests for a time. A time that is not positive or
+// is longer than a minute makes no sense and is ignored. It reports whether the time was accepted,
+// and whether that is worth a line in the log: a senseless one is once for each upstream.
+func (c *Choice) Pauses(now kcrclock.Time, pause kcrclock.Duration) (accepted, notable bool) {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	if pause <= 0 || pause > maxPause {
+		notable = !c.state.badPause
+		c.state.badPause = true
+		return false, notable
+	}
+	notable = now >= c.state.pausedUntil
+	c.state.pausedUntil = max(c.state.pausedUntil, now.Add(pause))
+	return true, notable
+}
+
+// PauseEnd returns when the first upstream of a service takes requests again, if all that don't
+// leave want none now.
+func (t *Table) PauseEnd(now kcrclock.Time, name kcrid.Service) (end kcrclock.Time, paused bool) {
+	s := t.getOrCreateService(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		switch {
+		case s.leaves(u.ID, u.StartedAt):
+		case u.pausedUntil <= now:
+			return 0, false
+		case !paused || u.pausedUntil < end:
+			end, paused = u.pausedUntil, true
+		}
+	}
+	return end, paused
+}
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -142,6 +142,8 @@
 	rateLimit    RateLimit           // as it named it last
 
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
+	pausedUntil   kcrclock.Time // wants no requests before this time
+	badPause      bool          // has named a time that makes no sense
 }
 
 // service holds the upstreams of one service.
@@ -149,8 +151,9 @@
 	mu           sync.Mutex
 	upstreams    []*upstream
 	byID         map[kcrid.VM]*upstream
-	latencyRatio float64 // average over all upstreams
-	rotation     int     // offset at which the next scan of the upstreams begins
+	leaving      map[kcrid.VM]int64 // starts of upstreams that have said that they leave
+	latencyRatio float64            // average over all upstreams
+	rotation     int                // offset at which the next scan of the upstreams begins
 }
 
 // Table is one router's view of all upstreams. It is safe for concurrent use.
@@ -178,7 +181,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s = t.services[name]; s == nil {
-		s = &service{byID: map[kcrid.VM]*upstream{}}
+		s = &service{byID: map[kcrid.VM]*upstream{}, leaving: map[kcrid.VM]int64{}}
 		t.services[name] = s
 	}
 	return s
@@ -283,7 +286,7 @@
 
 // Choose picks the upstream with the lowest cost and counts the request as in
 // flight there. It returns nil if the service has no upstream besides those
-// already tried or have no room. An upstream in cooldown is chosen only if there is no other.
+// already tried, of another version, leaving, or without room. An upstream in cooldown is chosen only if there is no other.
 func (t *Table) Choose(now kcrclock.Time, req Request) *Choice {
 	s := t.getOrCreateService(req.Service)
 	s.mu.Lock()
@@ -294,7 +297,7 @@
 	s.rotation++
 	for i := range s.upstreams {
 		u := s.upstreams[(i+s.rotation)%len(s.upstreams)]
-		if contains(req.Excluded, u.ID) || req.Version != "" && u.Version != req.Version || u.isWithheld(now) || req.Unlimited && u.rateLimit.Named {
+		if contains(req.Excluded, u.ID) || !s.takes(now, u, &req) {
 			continue
 		}
 		cost, uncached := t.cost(now, s, u, req, u == preferred)
@@ -319,6 +322,17 @@
 	}
 }
 
+// takes reports whether an upstream may get a request now.
+func (s *service) takes(now kcrclock.Time, u *upstream, req *Request) bool {
+	switch {
+	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named:
+		return false
+	case u.isWithheld(now), now < u.pausedUntil, s.leaves(u.ID, u.StartedAt):
+		return false
+	}
+	return true
+}
+
 // tieMargin is the cost difference below which two upstreams count as equal, so
 // that the rotation spreads requests over them.
 const tieMargin = 1.0
@@ -338,8 +352,8 @@
 }
 
 // preferred returns the upstream that all routers prefer for the longest shared prefix, by
-// rendezvous hashing over those that are not in cooldown and have no rate limit. It returns
-// nil for a request that shares nothing.
+// rendezvous hashing over those that take the request, are not in cooldown and have no rate
+// limit. It returns nil for a request that shares nothing.
 func (s *service) preferred(now kcrclock.Time, req Request) (best *upstream) {
 	if len(req.PromptParts) < 2 {
 		return nil
@@ -347,7 +361,7 @@
 	lastShared := req.PromptParts[len(req.PromptParts)-2].ID
 	highest, longPool := uint64(0), s.usesLongPool(&req)
 	for _, u := range s.upstreams {
-		if h := mix(lastShared ^ u.hash); h >= highest && now >= u.retryAt && u.longPool == longPool && !u.rateLimit.Named {
+		if h := mix(lastShared ^ u.hash); h >= highest && now >= u.retryAt && u.longPool == longPool && !u.rateLimit.Named && s.takes(now, u, &req) {
 			best, highest = u, h
 		}
 	}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -159,6 +159,9 @@
 // room.
 const reasonLimited = "the rate limits of the upstreams leave no room"
 
+// reasonPaused is the reason of a request while all upstreams want none for a time.
+const reasonPaused = "all upstreams want no requests for now"
+
 // reasonVersionGone is the reason of a stream of which no upstream is left that may go on with it.
 const reasonVersionGone = "no upstream of the version that began the stream"
 
@@ -167,6 +170,9 @@
 	if x.version != "" {
 		return reasonVersionGone
 	}
+	if _, paused := x.gateway.table.PauseEnd(x.gateway.clock.Now(), x.service); paused {
+		return reasonPaused
+	}
 	if x.gateway.table.HasLimited(x.service) {
 		return reasonLimited
 	}
@@ -260,6 +266,9 @@
 		if echoedID != "" && head.Status != statusMisdirected {
 			a.recordRateLimit()
 		}
+		if (echoedID != "" || !a.conn.reused) && head.Status != statusMisdirected {
+			a.recordNotices()
+		}
 		return a.classifyResponse(echoedID)
 	}
 	return stateMayHaveRun, "answers to other requests"
@@ -285,6 +294,38 @@
 	}
 }
 
+// recordNotices records that the upstream leaves, or wants no requests for a time, if the
+// response says so.
+func (a *attempt) recordNotices() {
+	g, names := a.x.gateway, &a.x.gateway.headerNames
+	if a.head.Get(names.Leaving) == "1" && a.choice.Leaves() {
+		g.logger.Info("upstream leaves", "id", string(a.choice.ID), "born", a.choice.StartedAt, "req", a.x.id)
+	}
+	value := a.head.Get(names.RetryAfter)
+	if value == "" || a.head.Status != statusUnavailable {
+		return
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		seconds = 0
+	}
+	if accepted, notable := a.choice.Pauses(g.clock.Now(), secondsToDuration(seconds)); notable {
+		g.logger.Info("upstream wants no requests", "id", string(a.choice.ID), "seconds", value, "accepted", accepted, "req", a.x.id)
+	}
+}
+
+// secondsToDuration converts seconds, with fractions. It returns 0 for a time that no upstream
+// needs.
+func secondsToDuration(seconds float64) kcrclock.Duration {
+	if math.IsNaN(seconds) || seconds <= 0 || seconds > maxNamedSeconds {
+		return 0
+	}
+	return kcrclock.Duration(math.Ceil(seconds * float64(kcrclock.Second)))
+}
+
+// maxNamedSeconds is the longest time that an upstream may name, in seconds.
+const maxNamedSeconds = 3600
+
 // unreachable reports whether an upstream accepts no connection. A busy upstream
 // still accepts one.
 func unreachable(addr string) bool {
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -33,7 +33,7 @@
 func headerNames() kcrgateway.HeaderNames {
 	return kcrgateway.HeaderNames{
 		RequestID: "X-Id", APIKey: "X-Key", Team: "X-Team", Deadline: "X-Deadline", UpstreamID: "X-Instance", DeclaredTokens: "X-Usage",
-		PromptParts: "X-Parts", LastEventID: "X-Resume", FirstAttempt: "X-First", Signature: "X-Signature", NotRun: "X-Not-Run", RetryAfter: "Retry-After", Priority: "X-Urgency", RateLimit: "X-Rate",
+		PromptParts: "X-Parts", LastEventID: "X-Resume", FirstAttempt: "X-First", Signature: "X-Signature", NotRun: "X-Not-Run", RetryAfter: "Retry-After", Priority: "X-Urgency", RateLimit: "X-Rate", Leaving: "X-Leaving",
 		InternalFields:    []string{"X-Hold"},
 		CallerIdleTimeout: func(_, _ kcrclock.Duration) kcrclock.Duration { return kcrclock.Duration(idleTimeout.Milliseconds()) },
 	}
--- a/router/kcrgateway/header_names.go
+++ b/router/kcrgateway/header_names.go
@@ -20,7 +20,8 @@
 	FirstAttempt   string // RequestID of the attempt that brought the first event of the stream that the caller takes up
 	Signature      string // an upstream's signature of its response
 	NotRun         string // present if the upstream did not run the request
-	RetryAfter     string // seconds until the caller may retry
+	RetryAfter     string // seconds until the caller may retry; from an upstream that refuses a request, until it takes others
+	Leaving        string // 1 if the upstream is leaving
 	RateLimit      string // requests per second that the upstream takes from all routers together
 	Priority       string // scheduling priority at an engine, 0 is served first
 	// InternalFields holds further fields that only the system may set.
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -66,6 +66,8 @@
 			retryAfter = retryAfterMedium
 		case reasonVersionGone:
 			retryAfter = retryAfterLong
+		case reasonPaused:
+			retryAfter = x.pauseRetryAfter()
 		}
 		x.respond(statusUnavailable, reason, retryAfter)
 	case x.remaining() <= 0:
@@ -75,6 +77,16 @@
 	}
 }
 
+// pauseRetryAfter returns a time that jitter spreads over the time after the end of the pause of
+// the first upstream, so that callers don't all return at once.
+func (x *exchange) pauseRetryAfter() kcrclock.Duration {
+	now := x.gateway.clock.Now()
+	if end, paused := x.gateway.table.PauseEnd(now, x.service); paused {
+		return 2 * end.Sub(now)
+	}
+	return retryAfterShort
+}
+
 // respond writes a response of the gateway itself, which has no signature.
 func (x *exchange) respond(status int, reason string, retryAfter kcrclock.Duration) {
 	x.outcome = strconv.Itoa(status)
