--- a/kernel/kcrplacement/notice_test.go
+++ b/kernel/kcrplacement/notice_test.go
@@ -10,65 +10,89 @@
 	"kingcuprun.example/kernel/kcrplacement"
 )
 
+// noticeFleet is a table of upstreams, and what they have said.
+type noticeFleet struct {
+	table *kcrplacement.Table
+	now   kcrclock.Time
+	born  [4]int64 // start of each upstream
+	left  [4]int64 // last start after which it has said that it leaves
+
+	pausedUntil [4]kcrclock.Time
+}
+
+// update passes the upstreams to the table, without one of them if missing is its number.
+func (f *noticeFleet) update(missing int) {
+	var list []kcrplacement.Upstream
+	for i, born := range f.born {
+		if i != missing {
+			list = append(list, kcrplacement.Upstream{ID: kcrid.VM(fmt.Sprint(i)), Service: "s", Addr: fmt.Sprint(i), Zone: "z", Slots: 4, StartedAt: born})
+		}
+	}
+	f.table.Update(f.now, list)
+}
+
+// takes reports whether an upstream takes requests by its word.
+func (f *noticeFleet) takes(i int) bool { return f.left[i] < f.born[i] && f.now >= f.pausedUntil[i] }
+
+// takesAny reports whether any upstream does.
+func (f *noticeFleet) takesAny() bool {
+	for i := range f.born {
+		if f.takes(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// step makes a random move: an upstream starts again or is missing for a moment, and one is chosen
+// and says something.
+func (f *noticeFleet) step(draw func(n int) int) error {
+	f.now += kcrclock.Time(draw(200))
+	switch i := draw(len(f.born)); draw(8) {
+	case 0:
+		f.born[i]++
+		f.pausedUntil[i] = 0
+	case 1:
+		f.update(i)
+		f.pausedUntil[i] = 0 // a pause ends as the upstream is missing; leaving does not
+	}
+	f.update(-1)
+	choice := f.table.Choose(f.now, kcrplacement.Request{Service: "s"})
+	if choice == nil {
+		if f.takesAny() {
+			return fmt.Errorf("at %d: expected an upstream that takes requests, got none", f.now)
+		}
+		return nil
+	}
+	defer choice.Finish(f.now, kcrplacement.Served)
+	i := int(choice.ID[0] - '0')
+	if !f.takes(i) {
+		return fmt.Errorf("at %d: upstream %d was chosen against its word", f.now, i)
+	}
+	switch draw(10) {
+	case 0:
+		choice.Leaves()
+		f.left[i] = f.born[i]
+	case 1, 2:
+		pause := kcrclock.Duration(draw(900) + 1)
+		choice.Pauses(f.now, pause)
+		f.pausedUntil[i] = f.now.Add(pause)
+	}
+	return nil
+}
+
 // TestNoticesAreKept plays random schedules of upstreams that say that they leave or want no
 // requests, start again, and are missing for a while: none is chosen against its word, and one
 // that takes requests is.
 func TestNoticesAreKept(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(200) {
+		f := &noticeFleet{table: kcrplacement.New("z", kcrplacement.DefaultWeights()), now: 1, born: [4]int64{1, 1, 1, 1}}
 		draw := rand.New(rand.NewPCG(seed, 1)).IntN
-		table := kcrplacement.New("z", kcrplacement.DefaultWeights())
-		var born, leftAt [4]int64
-		var pausedUntil [4]kcrclock.Time
-		now := kcrclock.Time(1)
-		listed := func(missing int) (list []kcrplacement.Upstream) {
-			for i := range born {
-				if i != missing {
-					list = append(list, kcrplacement.Upstream{ID: kcrid.VM(fmt.Sprint(i)), Service: "s", Addr: fmt.Sprint(i), Zone: "z", Slots: 4, StartedAt: born[i]})
-				}
-			}
-			return list
-		}
-		for i := range born {
-			born[i] = 1
-		}
 		for range 400 {
-			now += kcrclock.Time(draw(200))
-			switch i := draw(len(born)); draw(8) {
-			case 0:
-				born[i]++
-				pausedUntil[i] = 0
-			case 1:
-				table.Update(now, listed(i))
-				pausedUntil[i] = 0 // the time ends with the list; the leaving does not
-			}
-			table.Update(now, listed(-1))
-			choice := table.Choose(now, kcrplacement.Request{Service: "s"})
-			free := false
-			for i := range born {
-				free = free || leftAt[i] < born[i] && now >= pausedUntil[i]
-			}
-			if choice == nil {
-				if free {
-					t.Fatalf("seed %d: expected an upstream that takes requests, got none", seed)
-				}
-				continue
-			}
-			var i int
-			_, _ = fmt.Sscan(string(choice.ID), &i)
-			if leftAt[i] >= born[i] || now < pausedUntil[i] {
-				t.Fatalf("seed %d: upstream %d was chosen against its word", seed, i)
-			}
-			switch draw(10) {
-			case 0:
-				choice.Leaves()
-				leftAt[i] = born[i]
-			case 1, 2:
-				pause := kcrclock.Duration(draw(900) + 1)
-				choice.Pauses(now, pause)
-				pausedUntil[i] = now.Add(pause)
+			if err := f.step(draw); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
 			}
-			choice.Finish(now, kcrplacement.Served)
 		}
 	}
 }
