Upstreams are checked after any run that ended without an answer

Callers saw 504 while a request ended one upstream after the other: the crashed upstream left its connections open and accepted no new ones, or it crashed a moment after the run had been given up.

Cause: only a lost connection led to a check whether the upstream still runs. Given up for silence, cut by a deadline, left by its caller: these ends proved nothing and were not looked at. For idempotent calls the check also came too early.

Now each end without an answer, and each silence longer than the latency target, is followed by a check, at once or after 250 ms, and another one after a second. An upstream that has just sent something, in any run, is alive without a probe (package kcrcrash, Watch). A part of a prompt counts once for each upstream, since a silent one may be tried again.

--- a/kernel/kcrcrash/parts.go
+++ b/kernel/kcrcrash/parts.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 
 	"kingcuprun.example/kernel/kcrid"
@@ -33,6 +35,15 @@
 // Run is a run of a request with the levels that its parts had when it was sent.
 type Run struct{ levels []PartLevel }
 
+// String returns the IDs of the parts.
+func (r Run) String() string {
+	ids := make([]string, len(r.levels))
+	for i, sent := range r.levels {
+		ids[i] = strconv.FormatUint(uint64(sent.Part), 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // maxParts bounds the parts that have a level; beyond it, the oldest that is not banned is
 // forgotten, or the oldest of all if all are.
 const maxParts = 8192
@@ -42,14 +53,14 @@
 	limit int // level from which a part is banned
 
 	mu     sync.Mutex
-	levels map[Part]PartLevel
-	parts  []Part // keys of levels, oldest first
+	raised map[Part][]kcrid.Incarnation // for each level, the upstream whose crash raised the part to it, "" if unknown
+	parts  []Part                       // keys of raised, oldest first
 	proven provenSet[Part]
 }
 
 // NewPartSuspects returns suspects without any part. A part is banned from level limit on.
 func NewPartSuspects(limit int) *PartSuspects {
-	return &PartSuspects{limit: limit, levels: map[Part]PartLevel{}, proven: newProvenSet[Part]()}
+	return &PartSuspects{limit: limit, raised: map[Part][]kcrid.Incarnation{}, proven: newProvenSet[Part]()}
 }
 
 // Sent records that a request with these parts is sent to an upstream.
@@ -58,7 +69,7 @@
 	defer s.mu.Unlock()
 	run := Run{levels: make([]PartLevel, len(parts))}
 	for i, part := range parts {
-		run.levels[i] = PartLevel{Part: part, Level: s.levels[part].Level}
+		run.levels[i] = PartLevel{Part: part, Level: len(s.raised[part])}
 	}
 	return run
 }
@@ -70,8 +81,9 @@
 	defer s.mu.Unlock()
 	maxLevel := s.limit
 	for _, sent := range slices.Backward(run.levels) {
-		risen := PartLevel{sent.Part, min(sent.Level+1, maxLevel), upstream}
-		if s.levels[sent.Part].Upstream == upstream || !s.raise(risen) {
+		current := s.raised[sent.Part]
+		risen := PartLevel{sent.Part, min(sent.Level+1, len(current)+1, maxLevel), upstream}
+		if slices.Contains(current, upstream) || !s.raise(risen) {
 			continue
 		}
 		raised = append(raised, risen)
@@ -96,22 +108,57 @@
 	if s.proven.has(p.Part) {
 		return false
 	}
-	current, known := s.levels[p.Part]
-	if current.Level >= p.Level {
+	current, known := s.raised[p.Part]
+	if len(current) >= p.Level {
 		return false
 	}
 	if !known {
 		s.parts = append(s.parts, p.Part)
 	}
-	s.levels[p.Part] = p
-	if len(s.levels) > maxParts {
+	raised := make([]kcrid.Incarnation, p.Level)
+	copy(raised, current)
+	raised[p.Level-1] = p.Upstream
+	s.raised[p.Part] = raised
+	if len(s.raised) > maxParts {
 		var forgotten Part
-		forgotten, s.parts = forgetOldest(s.parts, func(part Part) bool { return s.levels[part].Level >= s.limit })
-		delete(s.levels, forgotten)
+		forgotten, s.parts = forgetOldest(s.parts, s.isBanned)
+		delete(s.raised, forgotten)
 	}
 	return true
 }
 
+func (s *PartSuspects) isBanned(part Part) bool { return len(s.raised[part]) >= s.limit }
+
+// Retract undoes what the crash of an upstream has raised, as it turned out to be none. It returns
+// the parts whose level has fallen.
+func (s *PartSuspects) Retract(upstream kcrid.Incarnation) (lowered []Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range slices.Clone(s.parts) {
+		i := slices.Index(s.raised[part], upstream)
+		if i < 0 {
+			continue
+		}
+		lowered = append(lowered, part)
+		if len(s.raised[part]) == 1 {
+			s.forget(part)
+			continue
+		}
+		s.raised[part] = slices.Delete(s.raised[part], i, i+1)
+	}
+	return lowered
+}
+
+// forget removes the level of a part.
+func (s *PartSuspects) forget(part Part) {
+	if _, known := s.raised[part]; !known {
+		return
+	}
+	delete(s.raised, part)
+	i := slices.Index(s.parts, part)
+	s.parts = slices.Delete(s.parts, i, i+1)
+}
+
 // Served records that a request with these parts was answered completely. It returns the
 // parts that other processes must clear too, since one more crash would have banned them.
 func (s *PartSuspects) Served(parts []Part) (cleared []PartLevel) {
@@ -134,21 +181,17 @@
 
 // clear records that a part is harmless and returns the level that it had.
 func (s *PartSuspects) clear(part Part) (level int) {
+	level = len(s.raised[part])
 	s.proven.add(part)
-	current, known := s.levels[part]
-	if known {
-		delete(s.levels, part)
-		i := slices.Index(s.parts, part)
-		s.parts = slices.Delete(s.parts, i, i+1)
-	}
-	return current.Level
+	s.forget(part)
+	return level
 }
 
 // FindBanned returns the first of these parts that is banned.
 func (s *PartSuspects) FindBanned(parts []Part) (part Part, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(parts, func(part Part) bool { return s.levels[part].Level >= s.limit })
+	i := slices.IndexFunc(parts, s.isBanned)
 	if i < 0 {
 		return 0, false
 	}
@@ -160,8 +203,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range s.parts {
-		if current := s.levels[part]; current.Level >= s.limit {
-			banned = append(banned, current)
+		if s.isBanned(part) {
+			raised := s.raised[part]
+			banned = append(banned, PartLevel{part, len(raised), raised[len(raised)-1]})
 		}
 	}
 	return banned
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -14,6 +14,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -140,6 +141,7 @@
 	warmAt       kcrclock.Time       // end of the slow time after a start
 	cachedParts  map[uint64]struct{} // IDs of the parts that it is assumed to have cached
 	rateLimit    RateLimit           // as it named it last
+	heardAt      atomic.Int64        // when it last sent something, as a kcrclock.Time; 0 for never
 
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 	pausedUntil   kcrclock.Time // wants no requests before this time
@@ -471,6 +473,12 @@
 	return kcrclock.Duration((u.backlog+uncached)/readPerMS) + baseLatency
 }
 
+// Heard reports that the upstream has sent something.
+func (c *Choice) Heard(now kcrclock.Time) { c.state.heardAt.Store(int64(now)) }
+
+// HeardAt returns when the upstream last sent something in any run since its start, 0 for never.
+func (c *Choice) HeardAt() kcrclock.Time { return kcrclock.Time(c.state.heardAt.Load()) }
+
 // ResponseStarted reports that the response has begun to arrive: the prompt is read, and
 // the upstream is reachable.
 func (c *Choice) ResponseStarted(now kcrclock.Time) {
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -7,7 +7,6 @@
 	"math"
 	"net"
 	"strconv"
-	"strings"
 	"time"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -35,6 +34,8 @@
 	body         *kcrhttp.Body        // of the response, nil until its head is read
 	events       int                  // events of this run that were passed to the caller
 	suspects     kcrcrash.Run         // the shared parts of the prompt, with their levels at the start
+	silence      *time.Timer          // fires if no response begins for long, nil until the request is sent
+	unreachable  bool                 // the upstream was given up since it accepts no connection
 	ended        bool                 // end was called
 }
 
@@ -124,6 +125,7 @@
 		a.end(kcrplacement.CallerLeft, reason)
 		return a, stateNotRun, reason
 	}
+	a.watchSilence()
 	if state, reason = a.writeRequest(x.buildRequest(choice, lastEventID)); state != stateOK {
 		a.end(kcrplacement.ConnectionLost, reason)
 		return a, state, reason
@@ -263,6 +265,7 @@
 			continue
 		}
 		a.head, a.body = head, body
+		a.choice.Heard(a.x.gateway.clock.Now())
 		if echoedID != "" && head.Status != statusMisdirected {
 			a.recordRateLimit()
 		}
@@ -326,17 +329,6 @@
 // maxNamedSeconds is the longest time that an upstream may name, in seconds.
 const maxNamedSeconds = 3600
 
-// unreachable reports whether an upstream accepts no connection. A busy upstream
-// still accepts one.
-func unreachable(addr string) bool {
-	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
-	if err != nil {
-		return true
-	}
-	_ = conn.Close()
-	return false
-}
-
 // classifyResponse determines what a response head shows about the run. A success
 // counts only with the upstream's signature and the request's ID. On a connection that was
 // used before, a response without an ID may be a late copy of an earlier one, so it shows
@@ -395,9 +387,7 @@
 		reason += ", on a kept connection"
 	}
 	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started)})
-	if result == kcrplacement.ConnectionLost {
-		g.probeForCrash(a)
-	}
+	a.checkUpstream(now, result)
 }
 
 // reusable reports whether the connection may carry another request: the request
@@ -464,72 +454,3 @@
 		err = inner
 	}
 }
-
-// probeTimeout bounds the connection attempt that distinguishes an unreachable
-// upstream from a busy one.
-const probeTimeout = 100 * time.Millisecond
-
-// probeForCrash probes an upstream whose connection ended before its response did. If it
-// accepts no connection, the run counts as one that has crashed it. For a run without any
-// event the probe is awaited, because the next attempt depends on what it shows.
-func (g *Gateway) probeForCrash(a *attempt) {
-	content, events, parts := a.x.content, a.events, formatParts(a.x.usage.promptParts)
-	choice, suspects := a.choice, a.suspects
-	probe := func() {
-		if !unreachable(choice.Addr) {
-			return
-		}
-		upstream := incarnationOf(choice)
-		if crash := (kcrcrash.Crash{Content: content, Upstream: upstream}); g.config.Crashes.RecordCrash(crash) {
-			g.logger.Info("crash", "content", uint64(content), "id", string(choice.ID), "count", g.config.Crashes.CrashedUpstreams(content), "events", events, "parts", parts)
-			g.config.OnCrash(crash)
-		}
-		if events == 0 {
-			g.raiseParts(suspects, upstream)
-		}
-	}
-	if events == 0 {
-		probe()
-		return
-	}
-	g.goroutines.Go(probe)
-}
-
-// raiseParts records that a run without any event crashed an upstream. An upstream that
-// crashes as it begins to answer a part of a prompt sends no event.
-func (g *Gateway) raiseParts(suspects kcrcrash.Run, upstream kcrid.Incarnation) {
-	raised := g.config.PartSuspects.Crashed(suspects, upstream)
-	if len(raised) == 0 {
-		return
-	}
-	for _, p := range raised {
-		g.logger.Info("part suspected", "part", strconv.FormatUint(uint64(p.Part), 16), "level", p.Level, "id", string(upstream))
-	}
-	g.config.OnPartLevels(raised)
-}
-
-// clearSuspicions records that a request was answered completely: neither it nor a part of its
-// prompt crashes upstreams.
-func (x *exchange) clearSuspicions() {
-	if x.gateway.config.Crashes.RecordServed(x.content) {
-		x.gateway.logger.Info("content cleared", "content", uint64(x.content), "req", x.id)
-		x.gateway.config.OnContentCleared(x.content)
-	}
-	cleared := x.gateway.config.PartSuspects.Served(x.usage.sharedParts)
-	if len(cleared) == 0 {
-		return
-	}
-	for _, p := range cleared {
-		x.gateway.logger.Info("part cleared", "part", strconv.FormatUint(uint64(p.Part), 16), "req", x.id)
-	}
-	x.gateway.config.OnPartLevels(cleared)
-}
-
-// formatParts returns the IDs of the parts of a prompt as text for the log.
-func formatParts(parts []kcrplacement.PromptPart) string {
-	ids := make([]string, len(parts))
-	for i, part := range parts {
-		ids[i] = strconv.FormatUint(part.ID, 16)
-	}
-	return strings.Join(ids, ",")
-}
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -105,6 +105,7 @@
 	table          *kcrplacement.Table
 	startedAt      kcrclock.Time
 	pool           *pool
+	watch          *kcrcrash.Watch // upstreams on which runs ended without a response
 	metrics        *metrics
 	listener       net.Listener
 	stopping       atomic.Bool
@@ -115,7 +116,7 @@
 	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
 	goroutines     conc.WaitGroup
 	acceptDone     chan struct{}      // closed when acceptLoop has returned
-	cancelSweep    context.CancelFunc // stops sweepLoop
+	cancelLoops    context.CancelFunc // stops sweepLoop and checkLoop
 
 	mu           sync.Mutex
 	conns        map[net.Conn]*connState                 // open connections of callers
@@ -146,6 +147,7 @@
 		table:        c.Upstreams,
 		startedAt:    c.Clock.Now(),
 		pool:         newPool(),
+		watch:        kcrcrash.NewWatch(),
 		acceptDone:   make(chan struct{}),
 		metrics:      newMetrics(c.Metrics),
 		conns:        map[net.Conn]*connState{},
@@ -155,9 +157,10 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g.cancelSweep = cancel
+	g.cancelLoops = cancel
 	g.goroutines.Go(g.acceptLoop)
 	g.goroutines.Go(func() { g.sweepLoop(ctx) })
+	g.goroutines.Go(func() { g.checkLoop(ctx) })
 	return g, nil
 }
 
@@ -358,7 +361,7 @@
 		_ = conn.Close()
 	}
 	g.mu.Unlock()
-	g.cancelSweep()
+	g.cancelLoops()
 }
 
 // drainPollInterval is the interval at which a planned stop checks for open connections.
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -167,7 +167,7 @@
 		return reason
 	}
 	x.mayHaveRun = true
-	a.choice.ResponseStarted(x.gateway.clock.Now())
+	a.responseStarted()
 	body, release, err := x.gateway.readBuffered(a.body)
 	defer release()
 	if err != nil {
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -216,10 +216,11 @@
 	switch {
 	case s.x.interrupted():
 		return true
-	case !silentTooLong && !unreachable(a.choice.Addr):
+	case !silentTooLong && !a.upstreamUnreachable():
 		s.probed = true
 		return false
 	case !s.canMove() || s.x.holdRetry():
+		a.unreachable = !silentTooLong
 		return true
 	default:
 		s.kept, s.probed = true, false
@@ -232,9 +233,12 @@
 func (s *streamForwarder) forwardEvents(a *attempt) (reason string) {
 	for receivedAny := false; ; {
 		n, err := s.readBody(a, receivedAny)
+		if n > 0 {
+			a.choice.Heard(s.x.gateway.clock.Now())
+		}
 		if n > 0 && !receivedAny {
 			receivedAny = true
-			a.choice.ResponseStarted(s.x.gateway.clock.Now())
+			a.responseStarted()
 		}
 		s.events.Feed(s.readBuf[:n])
 		if reason := s.writeEvents(a); reason != "" {
