Crashes of upstreams that still run are undone

What tells the two apart is the upstream's entry: one that has ended writes it no more, and the store removes it after three heartbeats. An upstream whose entry, of the same start, was in a store that answered for that long and 4 s more still runs, and what it counted is taken back (kcrcrash.Review, Retract). Each router decides for itself, so nothing new is sent. The heartbeat is an optional setting of routers.

Ruled out: an accepted connection or an answer as proof, since the upstream may have started again under its ID before its new entry was read.

--- a/kernel/kcrcrash/counter.go
+++ b/kernel/kcrcrash/counter.go
@@ -96,6 +96,26 @@
 	c.contents = slices.Delete(c.contents, i, i+1)
 }
 
+// Retract undoes the crashes of an upstream, as it turned out that it still runs. It returns the
+// contents that counted one.
+func (c *Counter) Retract(upstream kcrid.Incarnation) (contents []kcrid.ContentHash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range slices.Clone(c.contents) {
+		i := slices.Index(c.crashes[h], upstream)
+		if i < 0 {
+			continue
+		}
+		contents = append(contents, h)
+		if len(c.crashes[h]) == 1 {
+			c.forget(h)
+			continue
+		}
+		c.crashes[h] = slices.Delete(c.crashes[h], i, i+1)
+	}
+	return contents
+}
+
 // RecordServed records that a request with the content was answered completely. It reports
 // whether others must be told to clear it, since one more crash would have banned it.
 func (c *Counter) RecordServed(h kcrid.ContentHash) (mustClear bool) {
--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -35,7 +35,8 @@
 // memberState is what is known of one upstream.
 type memberState struct {
 	member       Member
-	entryMissing bool // kept only during the grace period
+	entryMissing bool          // kept only during the grace period
+	presentSince kcrclock.Time // since when the store has an entry of this start
 }
 
 // version orders the entries of an upstream.
@@ -49,6 +50,7 @@
 	members     map[kcrid.VM]*memberState
 	removed     map[kcrid.VM]version // of removed upstreams
 	lastContact kcrclock.Time        // when the store last responded
+	contactFrom kcrclock.Time        // since when it has responded without an outage
 	contacted   bool                 // the store has responded at least once
 	storeLost   bool                 // the store doesn't respond
 	graceEnd    kcrclock.Time        // until then, upstreams without an entry are kept
@@ -70,6 +72,9 @@
 	if f.storeLost {
 		f.graceEnd = now.Add(f.gracePeriod)
 	}
+	if f.storeLost || !f.contacted {
+		f.contactFrom = now
+	}
 	f.contacted, f.storeLost = true, false
 	f.lastContact = now
 }
@@ -104,6 +109,18 @@
 	return f.contacted || len(f.members) > 0
 }
 
+// PresentSince returns since when the store, without an outage, has had an entry of an upstream
+// that started at born. It returns false if there is none, or the store does not respond.
+func (f *Fleet) PresentSince(id kcrid.VM, born int64) (since kcrclock.Time, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.members[id]
+	if s == nil || s.entryMissing || s.member.Born != born || f.storeLost || !f.contacted {
+		return 0, false
+	}
+	return max(s.presentSince, f.contactFrom), true
+}
+
 // SinceLastContact returns the time since the store last responded.
 func (f *Fleet) SinceLastContact(now kcrclock.Time) kcrclock.Duration {
 	f.mu.Lock()
@@ -123,7 +140,7 @@
 	}
 	s, ok := f.members[m.ID]
 	if !ok {
-		f.members[m.ID] = &memberState{member: m}
+		f.members[m.ID] = &memberState{member: m, presentSince: now}
 		f.digest ^= m.digest()
 		return true
 	}
@@ -132,6 +149,9 @@
 		return false
 	}
 	changed = s.entryMissing
+	if s.entryMissing || m.Born != previous.Born {
+		s.presentSince = now
+	}
 	s.entryMissing = false
 	s.member = m
 	if previous.relayed() == m.relayed() {
--- a/kernel/kcrid/id.go
+++ b/kernel/kcrid/id.go
@@ -59,6 +59,12 @@
 	return VM(vm)
 }
 
+// Run returns the name of the run: the part after the first slash, "" if there is none.
+func (i Incarnation) Run() string {
+	_, run, _ := strings.Cut(string(i), "/")
+	return run
+}
+
 // CallID identifies a request across all processes.
 type CallID struct {
 	Team Team
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -20,7 +20,6 @@
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrcrash"
-	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrfleet"
 	"kingcuprun.example/kernel/kcrid"
@@ -58,7 +57,10 @@
 	Retries      kcrgateway.RetryLimits
 	BucketCount  int // number of budget buckets, the same in all processes
 	// DroppedLogLines returns how many lines the logger has dropped.
-	DroppedLogLines  func() int64
+	DroppedLogLines func() int64
+	// EntryTimeout is the time in which the store removes the entry of an upstream that has
+	// ended, with a margin; 0 if it is unknown. One whose entry stays has not crashed.
+	EntryTimeout     kcrclock.Duration
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
 	// MaxDirectReads is the number of routers times that of upstreams up to which all
 	// routers read all entries, 0 for the default of package kcrfleet.
@@ -75,6 +77,7 @@
 	table             *kcrplacement.Table
 	crashes           *kcrcrash.Counter      // requests that crashed upstreams
 	partSuspects      *kcrcrash.PartSuspects // parts of prompts that crash upstreams
+	crashReview       *kcrcrash.Review       // upstreams that count as crashed
 	gateway           *kcrgateway.Gateway
 	buckets           []*bucket
 	peers             *kcrpeer.Registry
@@ -130,6 +133,7 @@
 		table:         kcrplacement.New(c.Zone, c.Weights),
 		crashes:       kcrcrash.New(maxCrashes),
 		partSuspects:  kcrcrash.NewPartSuspects(maxCrashes),
+		crashReview:   kcrcrash.NewReview(c.EntryTimeout),
 		escrowChanged: kcrdaemon.NewSignal(),
 		homes:         newHomeDirectory(),
 		permits:       newPermitDesk(),
@@ -179,31 +183,6 @@
 	return assumedRouters
 }
 
-// reportCrash tells the other routers that a request crashed an upstream.
-func (n *Node) reportCrash(c kcrcrash.Crash) { n.reportSuspect(c.Content, c.Upstream) }
-
-// reportCleared tells the other routers that a request content is harmless.
-func (n *Node) reportCleared(content kcrid.ContentHash) { n.reportSuspect(content, "") }
-
-// reportSuspect tells the other routers of a crash, or without an upstream that the content
-// is harmless.
-func (n *Node) reportSuspect(content kcrid.ContentHash, upstream kcrid.Incarnation) {
-	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Suspect{Suspect: &kcrentry.Suspect{
-		Content: uint64(content), Server: string(upstream),
-	}}})
-	n.peerFollower.Wake()
-}
-
-// reportParts tells the other routers the levels of parts of prompts.
-func (n *Node) reportParts(levels []kcrcrash.PartLevel) {
-	parts := &kcrentry.Parts{}
-	for _, p := range levels {
-		parts.Parts = append(parts.Parts, &kcrentry.Part{Id: uint64(p.Part), Level: uint32(p.Level), Server: string(p.Upstream)})
-	}
-	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Parts{Parts: parts}})
-	n.peerFollower.Wake()
-}
-
 // tick runs the periodic work.
 func (n *Node) tick() {
 	now := n.clock.Now()
@@ -216,6 +195,7 @@
 	if n.peers.HasUnconfirmed() {
 		n.peerFollower.Wake()
 	}
+	n.retractCrashes(now)
 	n.publishLimits()
 	for _, b := range n.buckets {
 		n.unfollowIfUnused(b)
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
-	"kingcuprun.example/kernel/kcrcrash"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrfleet"
 	"kingcuprun.example/kernel/kcrid"
@@ -123,65 +121,6 @@
 	}, c.Logger, c.SnapshotInterval.Std())
 }
 
-// applySuspect applies what another router has reported of a request content: a crash, or
-// that it is harmless.
-func (n *Node) applySuspect(e *kcrentry.Entry) {
-	s := e.GetSuspect()
-	if s == nil || kcrid.Incarnation(e.GetWriter()) == n.self {
-		return
-	}
-	crash := kcrcrash.Crash{Content: kcrid.ContentHash(s.GetContent()), Upstream: kcrid.Incarnation(s.GetServer())}
-	if crash.Upstream == "" {
-		n.crashes.Clear(crash.Content)
-		n.logger.Info("content cleared by another router", "content", s.GetContent(), "by", e.GetWriter())
-		return
-	}
-	counted, mustClear := n.crashes.RecordReport(crash)
-	if counted {
-		n.logger.Info("crash reported", "content", s.GetContent(), "id", s.GetServer(), "count", n.crashes.CrashedUpstreams(crash.Content), "by", e.GetWriter())
-	}
-	if mustClear && n.peers.Ready() {
-		n.reportCleared(crash.Content)
-	}
-}
-
-// applyParts applies the levels of parts of prompts that another router has reported.
-func (n *Node) applyParts(e *kcrentry.Entry) {
-	if kcrid.Incarnation(e.GetWriter()) == n.self {
-		return
-	}
-	var cleared []kcrcrash.PartLevel
-	for _, p := range e.GetParts().GetParts() {
-		level := kcrcrash.PartLevel{Part: kcrcrash.Part(p.GetId()), Level: int(p.GetLevel()), Upstream: kcrid.Incarnation(p.GetServer())}
-		if level.Level == 0 {
-			n.partSuspects.Clear(level.Part)
-		} else if n.partSuspects.Raise(level) {
-			cleared = append(cleared, kcrcrash.PartLevel{Part: level.Part})
-		}
-		n.logger.Info("part reported", "part", strconv.FormatUint(p.GetId(), 16), "level", level.Level, "by", e.GetWriter())
-	}
-	if len(cleared) > 0 && n.peers.Ready() {
-		n.reportParts(cleared)
-	}
-}
-
-// tellBans tells which contents and parts are banned to a router that has joined, or once the
-// log has come back from an older copy: it may lack the records. A few routers do it.
-func (n *Node) tellBans() {
-	if n.peers.Rank(n.clock.Now(), string(kcrid.PeerStream)) >= banTellers {
-		return
-	}
-	for _, crash := range n.crashes.BannedCrashes() {
-		n.reportCrash(crash)
-	}
-	if banned := n.partSuspects.Banned(); len(banned) > 0 {
-		n.reportParts(banned)
-	}
-}
-
-// banTellers is how many routers tell one that has joined what is banned.
-const banTellers = 2
-
 // peerReadInterval is the time between two reads of the peer stream.
 const peerReadInterval = 300 * time.Millisecond
 
