Bans of requests that crash upstreams outlive all routers

Cause: the peer stream is read without what the log has deleted, since old records that tell who is alive are of no use. But reports of crashes are state, and only living routers carried them on. A router that was cut off from the log for longer than the retention time missed reports in the same way.

Ruled out: asking the processes beside upstreams, which live on as well. They would have to follow the peer stream, and they can be lost together with the routers.

--- a/kernel/kcrcrash/counter.go
+++ b/kernel/kcrcrash/counter.go
@@ -159,12 +159,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.contents {
-		if !c.isBanned(h) {
-			continue
-		}
-		for _, upstream := range c.crashes[h][:c.limit] {
-			crashes = append(crashes, Crash{h, upstream})
+		if c.isBanned(h) {
+			crashes = c.appendCrashes(crashes, h)
 		}
 	}
 	return crashes
 }
+
+// NewestCrashes returns the crashes of the newest contents, at most count of them, oldest content
+// first. A content has no more of them than ban it.
+func (c *Counter) NewestCrashes(count int) (crashes []Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.contents[max(0, len(c.contents)-count):] {
+		crashes = c.appendCrashes(crashes, h)
+	}
+	return crashes
+}
+
+// appendCrashes appends the crashes of a content, no more than ban it.
+func (c *Counter) appendCrashes(crashes []Crash, h kcrid.ContentHash) []Crash {
+	for _, upstream := range c.crashes[h][:min(c.limit, len(c.crashes[h]))] {
+		crashes = append(crashes, Crash{h, upstream})
+	}
+	return crashes
+}
--- a/kernel/kcrcrash/parts.go
+++ b/kernel/kcrcrash/parts.go
@@ -204,9 +204,24 @@
 	defer s.mu.Unlock()
 	for _, part := range s.parts {
 		if s.isBanned(part) {
-			raised := s.raised[part]
-			banned = append(banned, PartLevel{part, len(raised), raised[len(raised)-1]})
+			banned = append(banned, s.level(part))
 		}
 	}
 	return banned
 }
+
+// Newest returns the newest parts that have a level, at most count of them, oldest first.
+func (s *PartSuspects) Newest(count int) (levels []PartLevel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range s.parts[max(0, len(s.parts)-count):] {
+		levels = append(levels, s.level(part))
+	}
+	return levels
+}
+
+// level returns the level of a part that has one.
+func (s *PartSuspects) level(part Part) PartLevel {
+	raised := s.raised[part]
+	return PartLevel{part, len(raised), raised[len(raised)-1]}
+}
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +37,7 @@
 	// Offset returns the offset of the last record applied.
 	Offset func() kcrid.Offset
 	// Restore replaces the state by a snapshot if the snapshot is newer, and tells
-	// whether it was.
+	// whether it was. With AllowsGaps it adds what the newest snapshot holds to the state.
 	Restore func(state []byte) (bool, error)
 	// BeginEra is called with the era of the log before the first page, and whenever the log
 	// has come back from an older copy. It reports whether the state was reset: the stream is
@@ -219,6 +221,9 @@
 		return true
 	}
 	if page.FirstOffset > f.next && f.machine.AllowsGaps {
+		if !f.bridgeGap(ctx) {
+			return false
+		}
 		f.next = page.FirstOffset
 	}
 	if page.FirstOffset > f.next && !f.restore(ctx, page.FirstOffset, page.NextOffset) {
@@ -268,11 +273,39 @@
 	return false
 }
 
+// bridgeGap adds what the newest snapshot holds to a state that allows gaps, in place of the
+// records that the log has deleted. It returns false if the snapshots can't be read.
+func (f *Follower) bridgeGap(ctx context.Context) bool {
+	if f.machine.Restore == nil {
+		return true
+	}
+	snapshotStream := kcrid.SnapshotStream(f.stream)
+	snapshots, err := readSnapshots(ctx, f.log, snapshotStream)
+	if err != nil {
+		f.logger.Warn("snapshots not read", "stream", snapshotStream, "err", err)
+		return false
+	}
+	if len(snapshots) == 0 {
+		return true
+	}
+	newest := slices.Max(slices.Collect(maps.Keys(snapshots)))
+	if _, err := f.machine.Restore(snapshots[newest]); err != nil {
+		f.logger.Warn("snapshot skipped", "stream", snapshotStream, "at", newest, "err", err)
+	}
+	return true
+}
+
 // ReadSnapshots returns the complete snapshots on a snapshot stream: the encoded states
 // by the offset of the last record in them. After a read error it returns those that
 // it has read before.
 func ReadSnapshots(ctx context.Context, log kcrlog.Log, snapshotStream kcrid.Stream) map[kcrid.Offset][]byte {
-	snapshots := map[kcrid.Offset][]byte{}
+	snapshots, _ := readSnapshots(ctx, log, snapshotStream) // those that were read are of use
+	return snapshots
+}
+
+// readSnapshots is ReadSnapshots, and returns the read error.
+func readSnapshots(ctx context.Context, log kcrlog.Log, snapshotStream kcrid.Stream) (snapshots map[kcrid.Offset][]byte, err error) {
+	snapshots = map[kcrid.Offset][]byte{}
 	type snapshotKey struct {
 		writer string
 		at     uint64
@@ -281,7 +314,7 @@
 	for from := kcrid.Offset(1); ; {
 		page, err := log.Read(ctx, snapshotStream, from, 0)
 		if err != nil || len(page.Records) == 0 && page.FirstOffset <= from {
-			return snapshots
+			return snapshots, err
 		}
 		from = max(from, page.FirstOffset)
 		for _, r := range page.Records {
--- a/router/kcrnode/crashes.go
+++ b/router/kcrnode/crashes.go
@@ -1,6 +1,7 @@
 package kcrnode
 
 import (
+	"encoding/json"
 	"strconv"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -15,7 +16,7 @@
 
 // reportCrash tells the other routers that a request crashed an upstream.
 func (n *Node) reportCrash(c kcrcrash.Crash) {
-	n.crashReview.Counted(n.clock.Now(), c.Upstream)
+	n.noteCrash(c.Upstream)
 	n.reportSuspect(c.Content, c.Upstream)
 }
 
@@ -35,7 +36,7 @@
 func (n *Node) reportParts(levels []kcrcrash.PartLevel) {
 	parts := &kcrentry.Parts{}
 	for _, p := range levels {
-		n.crashReview.Counted(n.clock.Now(), p.Upstream)
+		n.noteCrash(p.Upstream)
 		parts.Parts = append(parts.Parts, &kcrentry.Part{Id: uint64(p.Part), Level: uint32(p.Level), Server: string(p.Upstream)})
 	}
 	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Parts{Parts: parts}})
@@ -57,7 +58,7 @@
 	}
 	counted, mustClear := n.crashes.RecordReport(crash)
 	if counted {
-		n.crashReview.Counted(n.clock.Now(), crash.Upstream)
+		n.noteCrash(crash.Upstream)
 		n.logger.Info("crash reported", "content", s.GetContent(), "id", s.GetServer(), "count", n.crashes.CrashedUpstreams(crash.Content), "by", e.GetWriter())
 	}
 	if mustClear && n.peers.Ready() {
@@ -79,7 +80,7 @@
 		case n.partSuspects.Raise(level):
 			cleared = append(cleared, kcrcrash.PartLevel{Part: level.Part})
 		default:
-			n.crashReview.Counted(n.clock.Now(), level.Upstream)
+			n.noteCrash(level.Upstream)
 		}
 		n.logger.Info("part reported", "part", strconv.FormatUint(p.GetId(), 16), "level", level.Level, "by", e.GetWriter())
 	}
@@ -105,6 +106,54 @@
 // banTellers is how many routers tell one that has joined what is banned.
 const banTellers = 2
 
+// noteCrash records that a crash of an upstream was counted.
+func (n *Node) noteCrash(upstream kcrid.Incarnation) {
+	n.crashesKnown.Store(true)
+	n.crashReview.Counted(n.clock.Now(), upstream)
+}
+
+// crashState is what a snapshot of the peer stream holds: the log deletes the reports after its
+// retention time, and all routers may end at once.
+type crashState struct {
+	Crashes []kcrcrash.Crash     `json:"crashes"`
+	Parts   []kcrcrash.PartLevel `json:"parts"`
+}
+
+// maxSnapshotCrashes bounds the contents and the parts in a snapshot.
+const maxSnapshotCrashes = 1024
+
+// snapshotCrashes returns the encoded crashes, as of the last record of the peer stream.
+func (n *Node) snapshotCrashes() (kcrid.Offset, []byte, error) {
+	at := n.peers.At()
+	state, err := json.Marshal(crashState{Crashes: n.crashes.NewestCrashes(maxSnapshotCrashes), Parts: n.partSuspects.Newest(maxSnapshotCrashes)})
+	return at, state, err
+}
+
+// writesCrashes reports whether this router writes the snapshots of the peer stream. None are
+// written before any upstream has crashed.
+func (n *Node) writesCrashes() bool {
+	return n.crashesKnown.Load() && n.peers.Ready() && n.peers.OwnsItem(n.clock.Now(), string(kcrid.PeerStream))
+}
+
+// restoreCrashes adds the crashes of a snapshot.
+func (n *Node) restoreCrashes(data []byte) (bool, error) {
+	var state crashState
+	if err := json.Unmarshal(data, &state); err != nil {
+		return false, err
+	}
+	for _, crash := range state.Crashes {
+		if counted, _ := n.crashes.RecordReport(crash); counted {
+			n.noteCrash(crash.Upstream)
+		}
+	}
+	for _, level := range state.Parts {
+		n.partSuspects.Raise(level)
+		n.noteCrash(level.Upstream)
+	}
+	n.logger.Info("crashes read from a snapshot", "crashes", len(state.Crashes), "parts", len(state.Parts))
+	return true, nil
+}
+
 // retractCrashes undoes the crashes of upstreams that still run.
 func (n *Node) retractCrashes(now kcrclock.Time) {
 	for _, upstream := range n.crashReview.Running(now, n.presentSince) {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -78,6 +78,7 @@
 	crashes           *kcrcrash.Counter      // requests that crashed upstreams
 	partSuspects      *kcrcrash.PartSuspects // parts of prompts that crash upstreams
 	crashReview       *kcrcrash.Review       // upstreams that count as crashed
+	crashesKnown      atomic.Bool            // a crash was counted or reported
 	gateway           *kcrgateway.Gateway
 	buckets           []*bucket
 	peers             *kcrpeer.Registry
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -118,6 +118,7 @@
 			}
 		},
 		ReadDelay: func() time.Duration { return peerReadInterval },
+		Snapshot:  n.snapshotCrashes, Restore: n.restoreCrashes, IsSnapshotWriter: n.writesCrashes,
 	}, c.Logger, c.SnapshotInterval.Std())
 }
 
