Test: an answer that its upstream cuts off is never passed on as whole

Other operators report heads that end in the middle, which callers got as a 200 with an empty or short body. It does not happen here: answers cut off after each of their bytes, with a length, in chunks and as streams, on new and kept connections, for callers of HTTP/1.1 and HTTP/1.0, and for streams that go on at another upstream.

--- /dev/null
+++ b/router/kcrgateway/cut_answer_test.go
@@ -0,0 +1,116 @@
+package kcrgateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcuprun.example/link/kcrhttp"
+	"kingcuprun.example/router/kcrgateway"
+)
+
+// These tests cut the answer of an upstream off after each of its bytes.
+
+// cutAnswer is an answer, with %s for the ID of its request, and its body.
+type cutAnswer struct{ name, answer, body string }
+
+func cutAnswers() []cutAnswer {
+	const events = "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+	return []cutAnswer{
+		{"length last", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 12\r\n\r\nhello, world", "hello, world"},
+		{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Signature: s\r\nX-Id: %s\r\n\r\nhello, world", "hello, world"},
+		{"chunks", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nhello, \r\n5\r\nworld\r\n0\r\n\r\n", "hello, world"},
+		{"events", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(events) + "0\r\n\r\n", events},
+		{"events with a length", fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %%s\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n", len(events)) + events, events},
+	}
+}
+
+// cuttingUpstream answers requests for a path with "cut" by the first bytes of an answer, as many
+// as the header X-Cut tells, and then closes the connection. It answers others whole.
+func cuttingUpstream(t *testing.T, answer string) *upstream {
+	t.Helper()
+	return newUpstream(t, "cutting", func(_ int, req request, conn net.Conn) bool {
+		whole, cut := fmt.Sprintf(answer, req.id()), 0
+		if _, err := fmt.Sscan(req.head.Get("X-Cut"), &cut); err != nil || cut >= len(whole) {
+			_, err = io.WriteString(conn, whole)
+			return err == nil
+		}
+		_, _ = io.WriteString(conn, whole[:cut])
+		return false
+	})
+}
+
+// readToEnd sends a request and reads all bytes until the connection ends.
+func readToEnd(t *testing.T, gw *testGateway, path, protocol, headers string) (data []byte, err error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", gw.gateway.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, rawRequest := newRequest(path, headers+"Connection: close\r\n", "")
+	_, _ = io.WriteString(conn, strings.Replace(rawRequest, "HTTP/1.1", protocol, 1))
+	return io.ReadAll(conn)
+}
+
+// completeSuccess reports whether a caller takes what it has read for a whole success, and returns
+// the body.
+func completeSuccess(data []byte, readErr error) (body string, ok bool) {
+	reader := bufio.NewReader(bytes.NewReader(data))
+	head, err := kcrhttp.ReadResponse(reader, 8<<10)
+	if err != nil || head.Status >= 300 {
+		return "", false
+	}
+	bodyReader, err := kcrhttp.ResponseBody(reader, head, "POST")
+	if err != nil {
+		return "", false
+	}
+	content, err := bodyReader.ReadAll(1 << 20)
+	return string(content), err == nil && (readErr == nil || !bodyReader.UntilClose())
+}
+
+// Guards against an answer that its upstream cut off in the head or the body, and that the caller
+// gets as if it were whole.
+func TestAnswerCutOffIsNotWhole(t *testing.T) {
+	t.Parallel()
+	retries := kcrgateway.RetryLimits{Window: 10000, RetryRatio: 1, ExtraRetries: 1e6, FirstStart: true}
+	for _, a := range cutAnswers() {
+		for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/", "/resume/begun"} {
+			isStream := strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resume")
+			if isStream != strings.HasPrefix(a.name, "events") {
+				continue
+			}
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				for _, kept := range []bool{false, true} {
+					t.Run(fmt.Sprint(a.name, path, protocol, kept), func(t *testing.T) {
+						t.Parallel()
+						upstreams, begun := []*upstream{cuttingUpstream(t, a.answer)}, ""
+						if strings.HasSuffix(path, "begun") {
+							upstreams, begun = append(upstreams, newUpstream(t, "breaking", breakingStream)), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+						}
+						gw := newTestGatewayWith(t, retries, upstreams...)
+						for cut := range len(a.answer) + len("id-1000") {
+							if kept {
+								_, _ = readToEnd(t, gw, path+"whole", protocol, "")
+							}
+							data, err := readToEnd(t, gw, path, protocol, fmt.Sprintf("X-Cut: %d\r\n", cut))
+							if body, ok := completeSuccess(data, err); ok && body != a.body && body != begun+a.body {
+								t.Fatalf("cut after %d bytes: expected no whole success, got %q", cut, data)
+							}
+						}
+						data, err := readToEnd(t, gw, path, protocol, "X-Cut: 100000\r\n")
+						if body, ok := completeSuccess(data, err); begun == "" && (!ok || body != a.body) {
+							t.Errorf("an answer that is not cut off: expected a success, got %q", data)
+						}
+					})
+				}
+			}
+		}
+	}
+}
