A short planned stop takes no requests that it must cut off

Other operators report requests that came late in the grace of a planned stop, were passed on, and were cut off at its end.

It does with a short grace. Cause: the drain delay and the time in which streams are taken by an estimate were constants; where the delay is longer than the stop, everything is taken up to its end.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -111,7 +111,7 @@
 	stopping       atomic.Bool
 	closed         atomic.Bool  // Close was called; set while mu is held
 	stopDeadline   atomic.Int64 // end of a planned stop as a kcrclock.Time
-	stopBegan      atomic.Int64 // its begin
+	estimateEnd    atomic.Int64 // until when it takes generations whose end is only estimated, as a kcrclock.Time
 	activeRequests atomic.Int64
 	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
 	goroutines     conc.WaitGroup
@@ -270,6 +270,12 @@
 // ActiveRequests returns the number of requests in progress.
 func (g *Gateway) ActiveRequests() int64 { return g.activeRequests.Load() }
 
+// With a short time for a planned stop, drainDelay and estimatePeriod are at most these parts of it.
+const (
+	drainDivisor    = 3
+	estimateDivisor = 2
+)
+
 // Stop drains the gateway without interrupting a request. During drainDelay it
 // accepts requests as before, because the load balancer keeps sending them. The
 // balancer does so even longer when all routers of a zone stop at once, so after
@@ -280,10 +286,17 @@
 // request can begin, or a moment after the context ends. Requests that are in progress then
 // are aborted: those of which the caller has received nothing get an error response.
 func (g *Gateway) Stop(ctx context.Context, drainDelay time.Duration) {
-	g.stopBegan.Store(int64(g.clock.Now()))
+	now := g.clock.Now()
+	estimateEnd := now.Add(estimatePeriod)
+	deadline, ok := ctx.Deadline()
+	if ok {
+		drainDelay = min(drainDelay, time.Until(deadline)/drainDivisor)
+		estimateEnd = min(estimateEnd, now.Add(kcrclock.Duration((time.Until(deadline) / estimateDivisor).Milliseconds())))
+	}
+	g.estimateEnd.Store(int64(estimateEnd))
 	kcrdaemon.Sleep(ctx, drainDelay)
 	listening := ctx
-	if deadline, ok := ctx.Deadline(); ok {
+	if ok {
 		g.stopDeadline.Store(int64(g.clock.Now()) + time.Until(deadline).Milliseconds())
 		var cancel context.CancelFunc
 		listening, cancel = context.WithDeadline(ctx, deadline.Add(-firstRequestTimeout.Std()))
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -158,10 +158,10 @@
 const estimatePeriod = 3 * kcrclock.Second
 
 // endsBeforeStop reports whether the request will end before the deadline of a planned
-// stop: probably during estimatePeriod, certainly after it.
+// stop: probably until the gateway's estimateEnd, certainly after it.
 func (x *exchange) endsBeforeStop() bool {
 	maxTime := x.remaining()
-	if x.usage.declared && x.gateway.clock.Now().Sub(kcrclock.Time(x.gateway.stopBegan.Load())) < estimatePeriod {
+	if x.usage.declared && x.gateway.clock.Now() < kcrclock.Time(x.gateway.estimateEnd.Load()) {
 		maxTime = min(maxTime, x.route.LatencyTarget+kcrclock.Duration(x.usage.output)*maxTimePerToken)
 	}
 	return x.gateway.clock.Now().Add(maxTime) < kcrclock.Time(x.gateway.stopDeadline.Load())
--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -183,3 +184,111 @@
 		t.Errorf("after %v: expected 503, since the stream may last longer than the stop, got %d", late, got)
 	}
 }
+
+// lateCaller sends requests one after the other until a stopped gateway refuses its connections.
+type lateCaller struct {
+	gw       *testGateway
+	path     string
+	deadline int  // of each request, in milliseconds
+	kept     bool // it uses a connection as long as it is open
+}
+
+// run returns the requests without a complete answer, and how many were answered.
+func (c lateCaller) run(until time.Time) (unanswered []string, answered int) {
+	var conn net.Conn
+	var reader *bufio.Reader
+	for time.Now().Before(until) {
+		if conn == nil || !c.kept {
+			dialed, err := net.Dial("tcp", c.gw.gateway.Addr())
+			if err != nil {
+				return unanswered, answered
+			}
+			defer func() { _ = dialed.Close() }()
+			conn = dialed
+			_ = conn.SetDeadline(until.Add(5 * time.Second))
+			reader = bufio.NewReader(conn)
+		}
+		id, rawRequest := newRequest(c.path, "", "body")
+		if _, err := io.WriteString(conn, strings.Replace(rawRequest, "X-Deadline: 1500", fmt.Sprint("X-Deadline: ", c.deadline), 1)); err != nil {
+			conn = nil
+			continue
+		}
+		head, _, err := readResponse(reader)
+		if err != nil {
+			unanswered = append(unanswered, id)
+			conn = nil
+			continue
+		}
+		answered++
+		if !head.KeepAlive() {
+			conn = nil
+		}
+	}
+	return unanswered, answered
+}
+
+// Guards against requests that are taken late in a stop, passed on, and cut off at its end without
+// an answer.
+func TestStopAnswersRequestsThatComeLate(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ grace, drainDelay time.Duration }{{3500 * time.Millisecond, 500 * time.Millisecond}, {1100 * time.Millisecond, 1300 * time.Millisecond}} {
+		t.Run(c.grace.String(), func(t *testing.T) {
+			t.Parallel()
+			checkLateRequests(t, c.grace, c.drainDelay)
+		})
+	}
+}
+
+// checkLateRequests stops a gateway while callers go on sending requests. Each request that reaches
+// the upstream must be answered.
+func checkLateRequests(t *testing.T, grace, drainDelay time.Duration) {
+	t.Helper()
+	u := newUpstream(t, "u", func(n int, req request, conn net.Conn) bool {
+		switch {
+		case n%5 == 0: // silent until the gateway gives up
+			_, _ = conn.Read(make([]byte, 1))
+			return false
+		case strings.HasPrefix(req.head.Target, "/stream/"), strings.HasPrefix(req.head.Target, "/resume/"):
+			writeStream(conn, req.id(), 1, 1)
+			time.Sleep(time.Duration(n%7) * 20 * time.Millisecond)
+			_, err := io.WriteString(conn, chunk(formatEvent(2))+kcrhttp.LastChunk)
+			return err == nil
+		}
+		time.Sleep(time.Duration(n%9) * 30 * time.Millisecond)
+		return respondOK(n, req, conn)
+	})
+	// No other test listens on this address, so a caller that comes late reaches nobody.
+	gw := newTestGatewayAt(t, "127.0.0.2:0", kcrgateway.RetryLimits{Window: 10000, RetryRatio: 1, ExtraRetries: 1e6, FirstStart: true}, u)
+	began := time.Now()
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	unanswered, answered := map[string]string{}, 0
+	for _, path := range []string{"/once/1", "/safe/1", "/stream/1", "/resume/1"} {
+		for _, deadline := range []int{300, 900, 1900} {
+			for _, kept := range []bool{false, true} {
+				c := lateCaller{gw: gw, path: path, deadline: deadline, kept: kept}
+				callers.Go(func() {
+					ids, n := c.run(began.Add(grace + time.Second))
+					mu.Lock()
+					defer mu.Unlock()
+					answered += n
+					for _, id := range ids {
+						unanswered[id] = fmt.Sprint(c.path, deadline, kept)
+					}
+				})
+			}
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), grace)
+	defer cancel()
+	gw.gateway.Stop(ctx, drainDelay)
+	gw.gateway.Close()
+	callers.Wait()
+	for _, r := range u.receivedRequests() {
+		if kind, ok := unanswered[r.id()]; ok {
+			t.Errorf("%s %s: the upstream received the request, and the caller got no complete response", r.id(), kind)
+		}
+	}
+	t.Logf("%d requests answered", answered)
+}
