--- a/router/kcrgateway/cut_answer_test.go
+++ b/router/kcrgateway/cut_answer_test.go
@@ -79,38 +79,44 @@
 // gets as if it were whole.
 func TestAnswerCutOffIsNotWhole(t *testing.T) {
 	t.Parallel()
-	retries := kcrgateway.RetryLimits{Window: 10000, RetryRatio: 1, ExtraRetries: 1e6, FirstStart: true}
 	for _, a := range cutAnswers() {
-		for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/", "/resume/begun"} {
-			isStream := strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resume")
-			if isStream != strings.HasPrefix(a.name, "events") {
-				continue
-			}
+		paths := []string{"/once/", "/safe/"}
+		if strings.HasPrefix(a.name, "events") {
+			paths = []string{"/stream/", "/resume/", "/resume/begun"}
+		}
+		for _, path := range paths {
 			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 				for _, kept := range []bool{false, true} {
 					t.Run(fmt.Sprint(a.name, path, protocol, kept), func(t *testing.T) {
 						t.Parallel()
-						upstreams, begun := []*upstream{cuttingUpstream(t, a.answer)}, ""
-						if strings.HasSuffix(path, "begun") {
-							upstreams, begun = append(upstreams, newUpstream(t, "breaking", breakingStream)), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-						}
-						gw := newTestGatewayWith(t, retries, upstreams...)
-						for cut := range len(a.answer) + len("id-1000") {
-							if kept {
-								_, _ = readToEnd(t, gw, path+"whole", protocol, "")
-							}
-							data, err := readToEnd(t, gw, path, protocol, fmt.Sprintf("X-Cut: %d\r\n", cut))
-							if body, ok := completeSuccess(data, err); ok && body != a.body && body != begun+a.body {
-								t.Fatalf("cut after %d bytes: expected no whole success, got %q", cut, data)
-							}
-						}
-						data, err := readToEnd(t, gw, path, protocol, "X-Cut: 100000\r\n")
-						if body, ok := completeSuccess(data, err); begun == "" && (!ok || body != a.body) {
-							t.Errorf("an answer that is not cut off: expected a success, got %q", data)
-						}
+						checkCuts(t, a, path, protocol, kept)
 					})
 				}
 			}
 		}
 	}
 }
+
+// checkCuts cuts an answer off after each of its bytes, on connections to the upstream that were
+// used before if kept is set.
+func checkCuts(t *testing.T, a cutAnswer, path, protocol string, kept bool) {
+	t.Helper()
+	upstreams, begun := []*upstream{cuttingUpstream(t, a.answer)}, ""
+	if strings.HasSuffix(path, "begun") {
+		upstreams, begun = append(upstreams, newUpstream(t, "breaking", breakingStream)), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	}
+	gw := newTestGatewayWith(t, kcrgateway.RetryLimits{Window: 10000, RetryRatio: 1, ExtraRetries: 1e6, FirstStart: true}, upstreams...)
+	for cut := range len(a.answer) + len("id-1000") {
+		if kept {
+			_, _ = readToEnd(t, gw, path+"whole", protocol, "")
+		}
+		data, err := readToEnd(t, gw, path, protocol, fmt.Sprintf("X-Cut: %d\r\n", cut))
+		if body, ok := completeSuccess(data, err); ok && body != a.body && body != begun+a.body {
+			t.Fatalf("cut after %d bytes: expected no whole success, got %q", cut, data)
+		}
+	}
+	data, err := readToEnd(t, gw, path, protocol, "X-Cut: 100000\r\n")
+	if body, ok := completeSuccess(data, err); begun == "" && (!ok || body != a.body) {
+		t.Errorf("an answer that is not cut off: expected a success, got %q", data)
+	}
+}
