--- a/kernel/kcrcrash/storm_test.go
+++ b/kernel/kcrcrash/storm_test.go
@@ -6,11 +6,13 @@
 	"testing"
 
 	"kingcuprun.example/kernel/kcrcrash"
+	"kingcuprun.example/kernel/kcrid"
 )
 
 // This file plays 40 s of requests, of which some have a part that crashes engines, with
 // several routers that hear of each other late. Engines fail for other reasons too, single
-// ones and many at once. Times are in ms.
+// ones and many at once, and some are cut off for a time, which looks like a crash until they are
+// known to run. Times are in ms.
 
 const (
 	stormLength  = 40_000
@@ -19,6 +21,9 @@
 	sessions     = 200
 	badPart      = kcrcrash.Part(1)
 	stableWindow = 3_000
+	cutLength    = 5_000
+	cutAvoided   = 2_000 // how long a router avoids an engine that is cut off
+	reviewPeriod = 7_600
 )
 
 // stormRun is a run at an engine.
@@ -41,6 +46,9 @@
 	now      int
 	suspects [stormRouters]*kcrcrash.PartSuspects
 	backAt   [stormEngines]int // when the engine accepts requests again
+	cutUntil [stormEngines]int
+	avoid    [stormRouters][stormEngines]int // until when a router avoids the engine
+	retracts map[int][]int                   // engines that are known to run, by time
 	runs     []stormRun
 	due      map[int]bool // times at which a run ends or begins to answer the bad part
 	reports  []stormReport
@@ -51,7 +59,7 @@
 }
 
 func newStorm(seed uint64) *storm {
-	s := &storm{rng: rand.New(rand.NewPCG(seed, 27)), due: map[int]bool{}}
+	s := &storm{rng: rand.New(rand.NewPCG(seed, 27)), due: map[int]bool{}, retracts: map[int][]int{}}
 	for i := range s.suspects {
 		s.suspects[i] = kcrcrash.NewPartSuspects(3)
 	}
@@ -64,6 +72,16 @@
 	for ; s.now < stormLength; s.now++ {
 		s.deliver()
 		s.advance()
+		for _, engine := range s.retracts[s.now] {
+			for _, suspects := range s.suspects {
+				suspects.Retract(cutOff(engine))
+			}
+		}
+		if s.now%20_000 == 10_000 {
+			for engine := stormEngines / 3; engine < 2*stormEngines/3; engine++ {
+				s.cut(engine)
+			}
+		}
 		if s.now%20_000 == 15_000 {
 			for engine := range stormEngines / 2 {
 				s.crash(engine)
@@ -89,7 +107,7 @@
 // send sends a request through a router, which may refuse it, to an engine.
 func (s *storm) send(parts []kcrcrash.Part) {
 	router, engine := s.rng.IntN(stormRouters), s.rng.IntN(stormEngines)
-	for s.now < s.backAt[engine] {
+	for s.now < s.backAt[engine] || s.now < s.avoid[router][engine] {
 		engine = s.rng.IntN(stormEngines)
 	}
 	isBad := slices.Contains(parts, badPart)
@@ -108,6 +126,10 @@
 	}
 	r := stormRun{router: router, engine: engine, parts: parts, run: s.suspects[router].Sent(parts), answersAt: s.now + 20 + s.rng.IntN(130)}
 	r.endAt = r.answersAt + 100 + s.rng.IntN(1500)
+	if s.now < s.cutUntil[engine] {
+		s.lose(r)
+		return
+	}
 	s.due[r.answersAt], s.due[r.endAt] = true, true
 	s.runs = append(s.runs, r)
 }
@@ -143,6 +165,27 @@
 	})
 }
 
+// cutOff returns the name of an engine that is cut off, which has not started again since.
+func cutOff(engine int) kcrid.Incarnation { return upstream(-1 - engine) }
+
+// cut cuts an engine off. Its runs are lost, and nothing shows that it goes on.
+func (s *storm) cut(engine int) {
+	s.cutUntil[engine] = s.now + cutLength
+	s.retracts[s.now+cutLength+reviewPeriod] = append(s.retracts[s.now+cutLength+reviewPeriod], engine)
+	s.runs = slices.DeleteFunc(s.runs, func(r stormRun) bool {
+		if r.engine == engine && s.now <= r.answersAt {
+			s.lose(r)
+		}
+		return r.engine == engine
+	})
+}
+
+// lose counts a run at an engine that is cut off.
+func (s *storm) lose(r stormRun) {
+	s.avoid[r.router][r.engine] = s.now + cutAvoided
+	s.report(r.router, s.suspects[r.router].Crashed(r.run, cutOff(r.engine)))
+}
+
 // report sends levels to the other routers. Reports arrive in order.
 func (s *storm) report(from int, levels []kcrcrash.PartLevel) {
 	if len(levels) == 0 {
