An upstream gets one request at a time after it wanted none

When the time that an upstream had named with Retry-After was over, all routers sent it what they had, and it refused it all again.

--- a/kernel/kcrplacement/notice.go
+++ b/kernel/kcrplacement/notice.go
@@ -8,7 +8,8 @@
 // This file defines what an upstream says in its responses about further requests: that it
 // leaves, or that it wants none for a time. Invariants: an upstream that has said that it leaves
 // is chosen no more before it starts again, whatever its entry says or whether it was missing for
-// a while; one that wants no requests is not chosen before it does.
+// a while; one that wants no requests is not chosen before it does, and then gets one request at a
+// time until it has begun to answer one.
 
 const (
 	// maxPause bounds the time for which an upstream may want no requests.
@@ -51,10 +52,30 @@
 		return false, notable
 	}
 	notable = now >= c.state.pausedUntil
+	c.state.onTrial = true
 	c.state.pausedUntil = max(c.state.pausedUntil, now.Add(pause))
 	return true, notable
 }
 
+// beginTrial records that an upstream is chosen, and reports whether that is the one request that
+// it gets after a pause.
+func (u *upstream) beginTrial() (trial bool) {
+	u.inTrial = u.onTrial
+	return u.onTrial
+}
+
+// endTrial records that an upstream has begun to answer, or that a request to it has ended.
+func (c *Choice) endTrial(now kcrclock.Time, answered bool) {
+	if !c.trial {
+		return
+	}
+	c.trial = false
+	c.state.inTrial = false
+	if answered && now >= c.state.pausedUntil {
+		c.state.onTrial = false
+	}
+}
+
 // PauseEnd returns when the first upstream of a service takes requests again, if all that don't
 // leave want none now.
 func (t *Table) PauseEnd(now kcrclock.Time, name kcrid.Service) (end kcrclock.Time, paused bool) {
--- a/kernel/kcrplacement/notice_test.go
+++ b/kernel/kcrplacement/notice_test.go
@@ -96,3 +96,33 @@
 		}
 	}
 }
+
+// Guards against a crowd of requests at an upstream as soon as it wants some again.
+func TestUpstreamGetsOneRequestAfterPause(t *testing.T) {
+	t.Parallel()
+	table := kcrplacement.New("z", kcrplacement.DefaultWeights())
+	table.Update(1, []kcrplacement.Upstream{{ID: "0", Service: "s", Addr: "0", Zone: "z", Slots: 4}})
+	choose := func(now kcrclock.Time) *kcrplacement.Choice {
+		return table.Choose(now, kcrplacement.Request{Service: "s"})
+	}
+	running := choose(1) // goes on through the pause
+	refused := choose(2)
+	refused.Pauses(2, 100)
+	refused.Finish(3, kcrplacement.Refused)
+	for now := kcrclock.Time(102); now < 400; now += 100 {
+		trial := choose(now)
+		if trial == nil || choose(now) != nil {
+			t.Fatalf("at %d, after a pause: expected one request to be placed", now)
+		}
+		if now < 300 { // refused again
+			trial.Pauses(now, 90)
+			trial.Finish(now, kcrplacement.Refused)
+			continue
+		}
+		trial.ResponseStarted(now)
+		if choose(now) == nil || choose(now) == nil {
+			t.Errorf("at %d, after the begin of an answer: expected further requests to be placed", now)
+		}
+	}
+	running.Finish(400, kcrplacement.Served)
+}
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -41,6 +41,7 @@
 func (c *Choice) Withheld(until kcrclock.Time) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
+	c.endTrial(until, false)
 	c.state.inflight--
 	c.state.backlog -= c.pending
 	c.pending = 0
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -146,6 +146,8 @@
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 	pausedUntil   kcrclock.Time // wants no requests before this time
 	badPause      bool          // has named a time that makes no sense
+	onTrial       bool          // has not begun to answer a request since it wanted none
+	inTrial       bool          // a request that it got since then is in flight
 }
 
 // service holds the upstreams of one service.
@@ -284,6 +286,7 @@
 	promptParts []PromptPart
 	pending     kcrid.Tokens // tokens that this request still adds to the backlog
 	started     kcrclock.Time
+	trial       bool // the one request that the upstream gets after a pause
 }
 
 // Choose picks the upstream with the lowest cost and counts the request as in
@@ -321,6 +324,7 @@
 	return &Choice{
 		Upstream: best.Upstream, UncachedTokens: bestUncached, ExpectedLatency: expectedLatency(best, bestUncached), RateLimit: best.rateLimit,
 		service: s, state: best, promptParts: req.PromptParts, pending: bestUncached, started: now,
+		trial: best.beginTrial(),
 	}
 }
 
@@ -329,7 +333,7 @@
 	switch {
 	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named:
 		return false
-	case u.isWithheld(now), now < u.pausedUntil, s.leaves(u.ID, u.StartedAt):
+	case u.isWithheld(now), now < u.pausedUntil, u.inTrial, s.leaves(u.ID, u.StartedAt):
 		return false
 	}
 	return true
@@ -484,6 +488,7 @@
 func (c *Choice) ResponseStarted(now kcrclock.Time) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
+	c.endTrial(now, true)
 	c.state.backlog -= c.pending
 	c.pending = 0
 	c.state.backoff = 0
@@ -510,6 +515,7 @@
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	u := c.state
+	c.endTrial(now, false)
 	u.inflight--
 	u.backlog -= c.pending
 	c.pending = 0
