Routers tell each other of upstreams that say that they leave

An upstream says in its answers that it leaves while its entry is still ready. Now the router that hears it tells the others on the peer stream.

A router that starts later and reads the report before the entries finds it out itself, as before.

--- a/kernel/kcrplacement/notice.go
+++ b/kernel/kcrplacement/notice.go
@@ -27,11 +27,29 @@
 	if s.leaves(c.ID, c.StartedAt) {
 		return false
 	}
+	s.recordLeaving(c.ID, c.StartedAt)
+	return true
+}
+
+func (s *service) recordLeaving(id kcrid.VM, startedAt int64) {
 	if len(s.leaving) >= maxLeaving {
 		clear(s.leaving)
 	}
-	s.leaving[c.ID] = c.StartedAt
-	return true
+	s.leaving[id] = startedAt
+}
+
+// RecordLeaving records that an upstream has said to another router, since it started at startedAt,
+// that it leaves.
+func (t *Table) RecordLeaving(id kcrid.VM, startedAt int64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, s := range t.services {
+		s.mu.Lock()
+		if u := s.byID[id]; u != nil && !s.leaves(id, startedAt) {
+			s.recordLeaving(id, startedAt)
+		}
+		s.mu.Unlock()
+	}
 }
 
 // leaves reports whether an upstream has said that it leaves since it started.
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -303,6 +303,7 @@
 	g, names := a.x.gateway, &a.x.gateway.headerNames
 	if a.head.Get(names.Leaving) == "1" && a.choice.Leaves() {
 		g.logger.Info("upstream leaves", "id", string(a.choice.ID), "born", a.choice.StartedAt, "req", a.x.id)
+		g.config.OnLeaving(incarnationOf(a.choice))
 	}
 	value := a.head.Get(names.RetryAfter)
 	if value == "" || a.head.Status != statusUnavailable {
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -76,6 +76,8 @@
 	// FindOrigin returns the version that began the stream of such a request, on this or another
 	// router. It may block for a moment.
 	FindOrigin func(request string) (version string, known bool)
+	// OnLeaving is called with each upstream that says in a response that it leaves.
+	OnLeaving func(kcrid.Incarnation)
 	// OnCrash is called with each crash that Crashes counts.
 	OnCrash func(kcrcrash.Crash)
 	// OnContentCleared is called with a content of Crashes that other routers must clear.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -212,7 +212,7 @@
 			return true, 0
 		},
 		NoteOrigin: func(string, string) {}, FindOrigin: func(string) (string, bool) { return "", false },
-		OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
+		OnLeaving: func(kcrid.Incarnation) {}, OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
 		PartSuspects: kcrcrash.NewPartSuspects(3), OnPartLevels: func([]kcrcrash.PartLevel) {},
 	})
 	if err != nil {
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"kingcuprun.example/kernel/kcrentry"
@@ -103,6 +104,7 @@
 			}
 			n.applyParts(e)
 			n.applySuspect(e)
+			n.applyLeaving(e)
 		},
 		Offset: n.peers.At, Batch: n.peers.Batch, AllowsGaps: true,
 		BeginEra: func(era uint64) (again bool) {
@@ -122,6 +124,27 @@
 	}, c.Logger, c.SnapshotInterval.Std())
 }
 
+// reportLeaving tells the other routers that an upstream leaves.
+func (n *Node) reportLeaving(upstream kcrid.Incarnation) {
+	n.peers.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Leave{Leave: &kcrentry.Leave{Vm: string(upstream)}}})
+	n.peerFollower.Wake()
+}
+
+// applyLeaving applies that an upstream has told another router that it leaves.
+func (n *Node) applyLeaving(e *kcrentry.Entry) {
+	if e.GetLeave() == nil || kcrid.Incarnation(e.GetWriter()) == n.self {
+		return
+	}
+	upstream := kcrid.Incarnation(e.GetLeave().GetVm())
+	born, err := strconv.ParseInt(upstream.Run(), 10, 64)
+	if err != nil {
+		n.logger.Warn("leaving ignored: expected the start of an upstream", "id", string(upstream), "by", e.GetWriter())
+		return
+	}
+	n.table.RecordLeaving(upstream.VM(), born)
+	n.logger.Info("upstream leaves", "id", string(upstream.VM()), "born", born, "by", e.GetWriter())
+}
+
 // peerReadInterval is the time between two reads of the peer stream.
 const peerReadInterval = 300 * time.Millisecond
 
