A stream is refused for long only if no upstream of its version serves

A stream that goes on at its version was refused with "no upstream of the version that began the stream" and a Retry-After of 30 s also where such upstreams only paused, had no room under their limit, or were tried already. The reason and the time now follow from what keeps them from the stream.

TestVersionIsThereWhileItsUpstreamsPause tests the table; the response itself is not tested.

--- a/kernel/kcrplacement/notice.go
+++ b/kernel/kcrplacement/notice.go
@@ -1,6 +1,8 @@
 package kcrplacement
 
 import (
+	"slices"
+
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
 )
@@ -94,6 +96,14 @@
 	}
 }
 
+// HasVersion reports whether an upstream of a version serves and does not leave.
+func (t *Table) HasVersion(name kcrid.Service, version string) bool {
+	s := t.getOrCreateService(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.Version == version && !s.leaves(u.ID, u.StartedAt) })
+}
+
 // PauseEnd returns when the first upstream of a service takes requests again, if all that don't
 // leave want none now.
 func (t *Table) PauseEnd(now kcrclock.Time, name kcrid.Service) (end kcrclock.Time, paused bool) {
--- a/kernel/kcrplacement/notice_test.go
+++ b/kernel/kcrplacement/notice_test.go
@@ -126,3 +126,20 @@
 	}
 	running.Finish(400, kcrplacement.Served)
 }
+
+// Guards against streams that are refused for long although upstreams of their version are only
+// busy for a moment.
+func TestVersionIsThereWhileItsUpstreamsPause(t *testing.T) {
+	t.Parallel()
+	table := kcrplacement.New("z", kcrplacement.DefaultWeights())
+	table.Update(1, []kcrplacement.Upstream{{ID: "0", Service: "s", Version: "v1", StartedAt: 1}, {ID: "1", Service: "s", Version: "v2", StartedAt: 1}})
+	choice := table.Choose(1, kcrplacement.Request{Service: "s", Version: "v1"})
+	choice.Pauses(1, 1000)
+	if !table.HasVersion("s", "v1") || table.HasVersion("s", "v3") {
+		t.Errorf("while the upstream pauses: expected version v1 and not v3, got %v and %v", table.HasVersion("s", "v1"), table.HasVersion("s", "v3"))
+	}
+	choice.Leaves()
+	if table.HasVersion("s", "v1") || !table.HasVersion("s", "v2") {
+		t.Errorf("after the upstream of v1 left: expected only v2, got %v and %v", table.HasVersion("s", "v1"), table.HasVersion("s", "v2"))
+	}
+}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -169,7 +169,7 @@
 
 // noUpstreamReason returns why there is no upstream for an attempt.
 func (x *exchange) noUpstreamReason() string {
-	if x.version != "" {
+	if x.version != "" && !x.gateway.table.HasVersion(x.service, x.version) {
 		return reasonVersionGone
 	}
 	if _, paused := x.gateway.table.PauseEnd(x.gateway.clock.Now(), x.service); paused {
