--- a/kernel/kcrplacement/notice.go
+++ b/kernel/kcrplacement/notice.go
@@ -10,8 +10,8 @@
 // This file defines what an upstream says in its responses about further requests: that it
 // leaves, or that it wants none for a time. Invariants: an upstream that has said that it leaves
 // is chosen no more before it starts again, whatever its entry says or whether it was missing for
-// a while; one that wants no requests is not chosen before it does, and then gets one request at a
-// time until it has begun to answer one.
+// a while; one that wants no requests is not chosen before it does, and then gets one request, and
+// one more at once with each trialStep, until it has begun to answer one.
 
 const (
 	// maxPause bounds the time for which an upstream may want no requests.
@@ -19,6 +19,7 @@
 	// maxLeaving bounds the upstreams of a service that are remembered to leave; beyond it, all
 	// of them are forgotten.
 	maxLeaving = 4096
+	trialStep  = 100 * kcrclock.Millisecond
 )
 
 // Leaves records that the upstream is leaving, and reports whether that is new.
@@ -77,10 +78,17 @@
 	return true, notable
 }
 
-// beginTrial records that an upstream is chosen, and reports whether that is the one request that
-// it gets after a pause.
+// triesEnough reports whether an upstream that is on trial after a pause has as many requests as it
+// may get now.
+func (u *upstream) triesEnough(now kcrclock.Time) bool {
+	return u.onTrial && u.trials > int(now.Sub(u.pausedUntil)/trialStep)
+}
+
+// beginTrial records that an upstream is chosen, and reports whether it is on trial.
 func (u *upstream) beginTrial() (trial bool) {
-	u.inTrial = u.onTrial
+	if u.onTrial {
+		u.trials++
+	}
 	return u.onTrial
 }
 
@@ -90,7 +98,7 @@
 		return
 	}
 	c.trial = false
-	c.state.inTrial = false
+	c.state.trials--
 	if answered && now >= c.state.pausedUntil {
 		c.state.onTrial = false
 	}
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -147,7 +147,7 @@
 	pausedUntil   kcrclock.Time // wants no requests before this time
 	badPause      bool          // has named a time that makes no sense
 	onTrial       bool          // has not begun to answer a request since it wanted none
-	inTrial       bool          // a request that it got since then is in flight
+	trials        int           // requests in flight that it got on trial
 }
 
 // service holds the upstreams of one service.
@@ -286,7 +286,7 @@
 	promptParts []PromptPart
 	pending     kcrid.Tokens // tokens that this request still adds to the backlog
 	started     kcrclock.Time
-	trial       bool // the one request that the upstream gets after a pause
+	trial       bool // the upstream is on trial after a pause
 }
 
 // Choose picks the upstream with the lowest cost and counts the request as in
@@ -333,7 +333,7 @@
 	switch {
 	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named:
 		return false
-	case u.isWithheld(now), now < u.pausedUntil, u.inTrial, s.leaves(u.ID, u.StartedAt):
+	case u.isWithheld(now), now < u.pausedUntil, u.triesEnough(now), s.leaves(u.ID, u.StartedAt):
 		return false
 	}
 	return true
