Callers wait longer for escrow while the store does not respond

While the store is away two generations of three are refused for lack of escrow, with a Retry-After of about 0.7 s; most of those that came back were refused again, the only retry that they had. A router that knows that the store does not respond names about 4 s now, after which an outage of some seconds is over.

--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -121,6 +121,13 @@
 	return max(s.presentSince, f.contactFrom), true
 }
 
+// StoreIsLost reports whether the store does not respond.
+func (f *Fleet) StoreIsLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeLost
+}
+
 // SinceLastContact returns the time since the store last responded.
 func (f *Fleet) SinceLastContact(now kcrclock.Time) kcrclock.Duration {
 	f.mu.Lock()
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -47,6 +47,8 @@
 	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome
 	// Settle replaces a reservation of worstCase tokens by the used tokens.
 	Settle func(team kcrid.Team, worstCase, used kcrid.Tokens)
+	// StoreIsLost reports whether the store does not respond, so that no escrow can be granted.
+	StoreIsLost func() bool
 }
 
 // Config holds the settings and the dependencies of a Gateway.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -124,6 +125,7 @@
 
 // fakeBudget answers each reservation with outcome and adds up the tokens.
 type fakeBudget struct {
+	storeIsLost atomic.Bool
 	mu          sync.Mutex
 	outcome     kcrbudget.ReserveOutcome
 	reserved    kcrid.Tokens
@@ -203,7 +205,7 @@
 	g, err := kcrgateway.New(kcrgateway.Config{
 		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: kcrcrash.New(maxCrashes),
-		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle},
+		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, StoreIsLost: gw.budget.storeIsLost.Load},
 		Retries:     retries,
 		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, rate float64) (bool, kcrclock.Duration) {
 			if take := gw.takePermit.Load(); take != nil {
@@ -356,6 +358,23 @@
 	}
 }
 
+// Guards against callers that come back again and again while no escrow can be granted.
+func TestRefusalForEscrowInOutageAsksToWaitLonger(t *testing.T) {
+	t.Parallel()
+	gw := newTestGateway(t, newUpstream(t, "u1", respondOK))
+	gw.budget.outcome = kcrbudget.Pending
+	for lost, limits := range map[bool][2]float64{false: {0.3, 1.1}, true: {2, 6}} {
+		gw.budget.storeIsLost.Store(lost)
+		head, _, err := roundTrip(t, gw, "/resume/1", "")
+		if err != nil || head.Status != 503 {
+			t.Fatalf("expected 503, got %+v %v", head, err)
+		}
+		if seconds, err := strconv.ParseFloat(head.Get("Retry-After"), 64); err != nil || seconds < limits[0] || seconds > limits[1] {
+			t.Errorf("store lost %v: expected Retry-After from %v to %v s, got %q", lost, limits[0], limits[1], head.Get("Retry-After"))
+		}
+	}
+}
+
 // TestOnceRequestIsNotRepeated guards against a second run of a request that must
 // run at most once: after any failure of its upstream, no other upstream receives
 // it, and the response does not state that it did not run.
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -36,6 +36,7 @@
 const (
 	retryAfterShort  = 150 * kcrclock.Millisecond // the cause clears by itself
 	retryAfterMedium = 700 * kcrclock.Millisecond // a resource has to become available
+	retryAfterOutage = 4 * kcrclock.Second        // the store has to respond again
 	retryAfterLong   = 30 * kcrclock.Second       // a retry is expected to fail as well
 	defaultTimeout   = 60 * kcrclock.Second       // if the route sets none; a caller can only shorten it
 	// budgetWaitDivisor divides the latency target of the route, and the time until
@@ -249,9 +250,12 @@
 		return true
 	case kcrbudget.BudgetExhausted:
 		return x.refuse(statusPaymentRequired, "the budget does not cover the request", 0)
-	default:
-		return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterMedium)
 	}
+	retryAfter := retryAfterMedium
+	if x.gateway.config.Budget.StoreIsLost() {
+		retryAfter = retryAfterOutage
+	}
+	return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfter)
 }
 
 // forward makes attempts until there is a response, and returns the tokens to
