Checks of upstreams run by the common loop; a retold ban is no new crash

Found in a last reading: the loop of the checks was written again, and a router that tells a joining one what is banned began the time anew after which crashes are taken back.

--- a/router/kcrgateway/crash.go
+++ b/router/kcrgateway/crash.go
@@ -99,22 +99,13 @@
 	g.goroutines.Go(probe)
 }
 
-// checkLoop checks upstreams on which runs have ended without a response, until the context ends.
-func (g *Gateway) checkLoop(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if g.watch.Empty() {
-				continue
-			}
-			for _, p := range g.watch.Due(g.clock.Now()) {
-				g.goroutines.Go(func() { g.check(p) })
-			}
-		}
+// checkDue checks the upstreams on which runs have ended without a response, if that is due.
+func (g *Gateway) checkDue(context.Context) {
+	if g.watch.Empty() {
+		return
+	}
+	for _, p := range g.watch.Due(g.clock.Now()) {
+		g.goroutines.Go(func() { g.check(p) })
 	}
 }
 
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -120,7 +120,7 @@
 	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
 	goroutines     conc.WaitGroup
 	acceptDone     chan struct{}      // closed when acceptLoop has returned
-	cancelLoops    context.CancelFunc // stops sweepLoop and checkLoop
+	cancelLoops    context.CancelFunc // stops sweepLoop and the checks of upstreams
 
 	mu           sync.Mutex
 	conns        map[net.Conn]*connState                 // open connections of callers
@@ -164,7 +164,7 @@
 	g.cancelLoops = cancel
 	g.goroutines.Go(g.acceptLoop)
 	g.goroutines.Go(func() { g.sweepLoop(ctx) })
-	g.goroutines.Go(func() { g.checkLoop(ctx) })
+	g.goroutines.Go(func() { kcrdaemon.RunEvery(ctx, checkInterval, g.checkDue) })
 	return g, nil
 }
 
--- a/router/kcrnode/crashes.go
+++ b/router/kcrnode/crashes.go
@@ -96,7 +96,7 @@
 		return
 	}
 	for _, crash := range n.crashes.BannedCrashes() {
-		n.reportCrash(crash)
+		n.reportSuspect(crash.Content, crash.Upstream)
 	}
 	if banned := n.partSuspects.Banned(); len(banned) > 0 {
 		n.reportParts(banned)
