Comments of the crash counters and of peers follow what has changed

The header of the counter still named a broken connection as the only sign of a crash, and that of the registry of peers said that no deleted record is needed.

--- a/kernel/kcrcrash/counter.go
+++ b/kernel/kcrcrash/counter.go
@@ -12,8 +12,8 @@
 // Invariants: a content that has crashed the maximum number of upstreams is refused
 // by every process that knows of these crashes; a content that was answered completely is
 // never refused again, whatever other processes report, since what was under way with it at
-// a crash was not its cause. Callers report a broken connection as a crash only if the
-// upstream accepts no connection just after it; otherwise only the connection was lost.
+// a crash was not its cause. Callers report a run that ended without an answer as a crash
+// only if its upstream accepts no connection then; see Watch.
 
 // maxContents bounds the contents that are remembered; beyond it, the oldest that is not
 // banned is forgotten.
--- a/kernel/kcrcrash/parts.go
+++ b/kernel/kcrcrash/parts.go
@@ -15,7 +15,8 @@
 // The level of a part counts crashes in sequence: a crash raises the level that the part
 // had when the lost run was sent by one. Upstreams that fail at the same moment, for
 // another reason, therefore raise it only once, however many run requests with the part,
-// and the same holds for requests that reach an upstream just after its crash. A part whose
+// and the same holds for requests that reach an upstream just after its crash. An upstream
+// raises the level of a part only once. A part whose
 // level reaches the limit is banned. If several parts of a run would reach it, only the last
 // of them does, since fewer requests have it.
 //
--- a/kernel/kcrpeer/registry.go
+++ b/kernel/kcrpeer/registry.go
@@ -13,7 +13,7 @@
 )
 
 // This file defines Registry, the set of known peers, computed from the records of
-// that stream. Only recent records matter, so records that the log has deleted
+// that stream. Only recent Hello records matter, so those that the log has deleted
 // after their retention time are not needed. Invariant: a peer counts as alive
 // only after a Hello record of it was applied after MarkReady was called.
 
