Crashes are taken back in one place, and lost runs described only when they are

Counter and PartSuspects took the crashes of an upstream back by two copies of one loop; both call retract now. Each request built the name of its upstream for a timer that seldom fires; the timer does it now.

--- a/kernel/kcrcrash/counter.go
+++ b/kernel/kcrcrash/counter.go
@@ -101,19 +101,7 @@
 func (c *Counter) Retract(upstream kcrid.Incarnation) (contents []kcrid.ContentHash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, h := range slices.Clone(c.contents) {
-		i := slices.Index(c.crashes[h], upstream)
-		if i < 0 {
-			continue
-		}
-		contents = append(contents, h)
-		if len(c.crashes[h]) == 1 {
-			c.forget(h)
-			continue
-		}
-		c.crashes[h] = slices.Delete(c.crashes[h], i, i+1)
-	}
-	return contents
+	return retract(c.contents, c.crashes, upstream, c.forget)
 }
 
 // RecordServed records that a request with the content was answered completely. It reports
--- a/kernel/kcrcrash/parts.go
+++ b/kernel/kcrcrash/parts.go
@@ -16,9 +16,9 @@
 // had when the lost run was sent by one. Upstreams that fail at the same moment, for
 // another reason, therefore raise it only once, however many run requests with the part,
 // and the same holds for requests that reach an upstream just after its crash. An upstream
-// raises the level of a part only once. A part whose
-// level reaches the limit is banned. If several parts of a run would reach it, only the last
-// of them does, since fewer requests have it.
+// raises the level of a part only once. A part whose level reaches the limit is banned. If
+// several parts of a run would reach it, only the last of them does, since fewer requests
+// have it.
 //
 // A complete answer to a request with the part proves the part harmless: it has no level
 // any more, whatever other processes report.
@@ -135,19 +135,7 @@
 func (s *PartSuspects) Retract(upstream kcrid.Incarnation) (lowered []Part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, part := range slices.Clone(s.parts) {
-		i := slices.Index(s.raised[part], upstream)
-		if i < 0 {
-			continue
-		}
-		lowered = append(lowered, part)
-		if len(s.raised[part]) == 1 {
-			s.forget(part)
-			continue
-		}
-		s.raised[part] = slices.Delete(s.raised[part], i, i+1)
-	}
-	return lowered
+	return retract(s.parts, s.raised, upstream, s.forget)
 }
 
 // forget removes the level of a part.
--- a/kernel/kcrcrash/proven.go
+++ b/kernel/kcrcrash/proven.go
@@ -1,6 +1,10 @@
 package kcrcrash
 
-import "slices"
+import (
+	"slices"
+
+	"kingcuprun.example/kernel/kcrid"
+)
 
 // maxProven bounds each of the two generations of a provenSet.
 const maxProven = 16384
@@ -36,3 +40,21 @@
 	i := max(0, slices.IndexFunc(keys, func(key K) bool { return !banned(key) }))
 	return keys[i], slices.Delete(keys, i, i+1)
 }
+
+// retract removes an upstream from those that each of keys has crashed, and calls forget for keys
+// that have crashed no other. It returns the keys that had crashed it.
+func retract[K comparable](keys []K, crashed map[K][]kcrid.Incarnation, upstream kcrid.Incarnation, forget func(K)) (changed []K) {
+	for _, key := range slices.Clone(keys) {
+		i := slices.Index(crashed[key], upstream)
+		if i < 0 {
+			continue
+		}
+		changed = append(changed, key)
+		if len(crashed[key]) == 1 {
+			forget(key)
+			continue
+		}
+		crashed[key] = slices.Delete(crashed[key], i, i+1)
+	}
+	return changed
+}
--- a/router/kcrgateway/crash.go
+++ b/router/kcrgateway/crash.go
@@ -39,21 +39,21 @@
 	return !accepts(a.choice.Addr) && a.choice.HeardAt() < start
 }
 
-// lostRun describes the run of an attempt that ends without a complete response.
-func (a *attempt) lostRun(now kcrclock.Time) kcrcrash.LostRun {
+// lostRun describes the run of an attempt without a complete response, of which the caller has
+// got some events.
+func (a *attempt) lostRun(now kcrclock.Time, events int) kcrcrash.LostRun {
 	return kcrcrash.LostRun{
 		Upstream: incarnationOf(a.choice), Addr: a.choice.Addr, HeardAt: a.choice.HeardAt,
-		Content: a.x.content, Parts: a.suspects, Events: a.events, At: now,
+		Content: a.x.content, Parts: a.suspects, Events: events, At: now,
 	}
 }
 
 // watchSilence makes the upstream be checked if no response begins for long. The attempt goes
 // on: some requests may be sent to no other upstream, and wait until their deadline.
 func (a *attempt) watchSilence() {
-	g, run := a.x.gateway, a.lostRun(0)
+	g := a.x.gateway
 	a.silence = time.AfterFunc(max(minPlainWait, a.x.route.LatencyTarget).Std(), func() {
-		run.At = g.clock.Now()
-		g.watch.Silent(run)
+		g.watch.Silent(a.lostRun(g.clock.Now(), 0))
 	})
 }
 
@@ -67,11 +67,11 @@
 	g := a.x.gateway
 	switch {
 	case a.unreachable:
-		g.countCrash(a.lostRun(now))
+		g.countCrash(a.lostRun(now, a.events))
 	case result == kcrplacement.ConnectionLost:
-		g.probeForCrash(a.lostRun(now))
+		g.probeForCrash(a.lostRun(now, a.events))
 	case result == kcrplacement.Stalled, result == kcrplacement.CallerLeft:
-		g.watch.Lost(a.lostRun(now))
+		g.watch.Lost(a.lostRun(now, a.events))
 	}
 }
 
