--- a/router/kcrgateway/cut_answer_test.go
+++ b/router/kcrgateway/cut_answer_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
-	"time"
 
 	"kingcuprun.example/link/kcrhttp"
 	"kingcuprun.example/router/kcrgateway"
@@ -30,8 +28,8 @@
 	}
 }
 
-// cuttingUpstream answers requests for a path with "cut" by the first bytes of an answer, as many
-// as the header X-Cut tells, and then closes the connection. It answers others whole.
+// cuttingUpstream answers a request by the first bytes of an answer, as many as the header X-Cut
+// tells, and then closes the connection. Without the header it answers whole.
 func cuttingUpstream(t *testing.T, answer string) *upstream {
 	t.Helper()
 	return newUpstream(t, "cutting", func(_ int, req request, conn net.Conn) bool {
@@ -45,24 +43,18 @@
 	})
 }
 
-// readToEnd sends a request and reads all bytes until the connection ends.
-func readToEnd(t *testing.T, gw *testGateway, path, protocol, headers string) (data []byte, err error) {
+// readToEnd sends a request and returns all bytes until the connection ends, and the error with
+// which it does.
+func readToEnd(t *testing.T, gw *testGateway, path, protocol, headers string) (data string, err error) {
 	t.Helper()
-	conn, err := net.Dial("tcp", gw.gateway.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
 	_, rawRequest := newRequest(path, headers+"Connection: close\r\n", "")
-	_, _ = io.WriteString(conn, strings.Replace(rawRequest, "HTTP/1.1", protocol, 1))
-	return io.ReadAll(conn)
+	return sendRaw(t, gw, strings.Replace(rawRequest, "HTTP/1.1", protocol, 1))
 }
 
 // completeSuccess reports whether a caller takes what it has read for a whole success, and returns
 // the body.
-func completeSuccess(data []byte, readErr error) (body string, ok bool) {
-	reader := bufio.NewReader(bytes.NewReader(data))
+func completeSuccess(data string, readErr error) (body string, ok bool) {
+	reader := bufio.NewReader(strings.NewReader(data))
 	head, err := kcrhttp.ReadResponse(reader, 8<<10)
 	if err != nil || head.Status >= 300 {
 		return "", false
--- a/router/kcrgateway/splice_test.go
+++ b/router/kcrgateway/splice_test.go
@@ -26,6 +26,13 @@
 // getStream sends a request for a stream over a protocol version, and returns all bytes until the
 // connection ends and the error with which it does.
 func getStream(t *testing.T, gw *testGateway, protocol string) (data string, err error) {
+	t.Helper()
+	return sendRaw(t, gw, fmt.Sprintf("POST /resume/1 %s\r\nHost: %s\r\nX-Id: id-1\r\nX-Key: key\r\nX-Usage: 10,10\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", protocol, host))
+}
+
+// sendRaw sends the bytes of a request, and returns all bytes until the connection ends and the
+// error with which it does.
+func sendRaw(t *testing.T, gw *testGateway, request string) (data string, err error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", gw.gateway.Addr())
 	if err != nil {
@@ -33,7 +40,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	_, _ = fmt.Fprintf(conn, "POST /resume/1 %s\r\nHost: %s\r\nX-Id: id-1\r\nX-Key: key\r\nX-Usage: 10,10\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", protocol, host)
+	_, _ = io.WriteString(conn, request)
 	all, err := io.ReadAll(bufio.NewReader(conn))
 	return string(all), err
 }
