--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,78 @@
+// Command standin plays the cases of the review that can't be put as a day: it starts the
+// programs of kingcuprun as separate processes, with stand-ins of the platform's store, the
+// engines, the operator and the clients, on loopback addresses.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Exit codes of a case.
+const (
+	ruleHeld   = 0
+	ruleBroken = 1
+	notRun     = 2
+)
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE REPOSITORY FOLDER")
+		os.Exit(notRun)
+	}
+	cases := map[string]func(*scene) (broken bool, err error){"history": playHistory, "lent": playLent}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fmt.Fprintf(os.Stderr, "no case %q\n", os.Args[1])
+		os.Exit(notRun)
+	}
+	os.Exit(run(play, os.Args[2], os.Args[3]))
+}
+
+// scene is what a case needs.
+type scene struct {
+	root, dir string
+	rec       *recorder
+	trouble   bool // false to leave the disruption out
+	system    *system
+}
+
+func run(play func(*scene) (bool, error), root, folder string) int {
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	if os.Getenv("KEEP_LOGS") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	} else {
+		fmt.Println("logs in", dir)
+	}
+	rec, err := newRecorder(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	root, err = filepath.Abs(root)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	s := &scene{root: root, dir: dir, rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	broken, err := play(s)
+	if s.system != nil {
+		s.system.stop()
+	}
+	switch {
+	case err != nil:
+		rec.say("the case could not run: %v", err)
+		return notRun
+	case broken:
+		rec.say("the rule was broken")
+		return ruleBroken
+	default:
+		rec.say("the rule held")
+		return ruleHeld
+	}
+}
