--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -47,6 +48,7 @@
 	sides     []*machine
 	engines   []*engine
 	plain     []*engine
+	memoryMB  int // of a machine
 }
 
 // freeNetwork returns the first two bytes of loopback addresses whose ports are free.
@@ -96,7 +98,7 @@
 	for name, value := range map[string]string{
 		"nodeName": m.name, "zone": m.zone, "ip": m.ip, "portRange.0": fmt.Sprint(homePort), "platform.address": s.store.addr,
 		"listen.frontend": fmt.Sprintf("%s:%d", m.ip, frontendPort), "listen.readiness": fmt.Sprintf("%s:%d", m.ip, readinessPort),
-		"limits.memoryMb": "284", "bounds.graceS": "8", "bounds.budgetWindowS": "10", "bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "52",
+		"limits.memoryMb": fmt.Sprint(s.memoryMB), "bounds.graceS": "8", "bounds.budgetWindowS": "10", "bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "52",
 	} {
 		replace("{{"+name+"}}", value)
 	}
@@ -193,11 +195,12 @@
 type plan struct {
 	routers, sides, plain int
 	keep                  time.Duration // history of the store
+	memoryMB              int           // of a machine, 0 for 284
 }
 
 // newSystem starts the store and the engines, and prepares the machines.
 func newSystem(root, dir string, rec *recorder, p plan) (s *system, err error) {
-	s = &system{root: root, dir: dir, rec: rec}
+	s = &system{root: root, dir: dir, rec: rec, memoryMB: cmp.Or(p.memoryMB, 284)}
 	if s.network, err = freeNetwork(); err != nil {
 		return nil, err
 	}
