--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -70,19 +70,32 @@
 	faultAt, back := sc.rec.since(), sc.rec.since()
 	if sc.trouble {
 		s.putConfig(9, t)
-		sc.rec.say("all processes are killed")
-		for _, m := range s.all() {
-			m.signal(syscall.SIGKILL)
+		struck, signal := s.all(), syscall.SIGKILL
+		if only := os.Getenv("ONLY_HOME"); only != "" {
+			home, err := s.home()
+			if err != nil {
+				return false, err
+			}
+			struck = []*machine{home}
+			if only == "TERM" {
+				signal = syscall.SIGTERM
+			}
+		}
+		sc.rec.say("%d processes get %v", len(struck), signal)
+		for _, m := range struck {
+			m.signal(signal)
 		}
-		for _, m := range s.all() {
+		for _, m := range struck {
 			m.wait()
 		}
 		time.Sleep(inSeconds(downS))
-		if err := s.startAll(); err != nil {
-			return false, err
+		for _, m := range struck {
+			if err := m.start(); err != nil {
+				return false, err
+			}
 		}
 		back = sc.rec.since()
-		sc.rec.say("all processes are started again")
+		sc.rec.say("they are started again")
 	}
 	sleepUntil(sc.rec, back+recoveryS+judgedS)
 	stop()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -171,8 +171,11 @@
 		return
 	}
 	time.Sleep(s.usual(appendTime))
-	if r.Context().Err() != nil { // its caller is gone: not executed
+	if r.Context().Err() != nil { // its caller is gone: executed later, if at all
 		<-writing
+		if late := setting("LATE", 0); late > 0 {
+			time.AfterFunc(inSeconds(late), func() { s.append(name, records) })
+		}
 		return
 	}
 	offset, end := s.append(name, records)
