--- a/review/standin/lent.go
+++ b/review/standin/lent.go
@@ -93,8 +93,8 @@
 	}
 	slowFrom := sc.rec.since()
 	if sc.trouble {
-		sc.rec.say("the store is slow: its answers take %d times as long", slowFactor)
-		s.store.setSlow(slowFactor)
+		sc.rec.say("the store is slow: its answers take %.0f times as long", setting("SLOW", slowFactor))
+		s.store.setSlow(int(setting("SLOW", slowFactor)))
 	}
 	time.Sleep(delay)
 	begun := make(chan struct{})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE REPOSITORY FOLDER")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(*scene) (broken bool, err error){"history": playHistory, "lent": playLent, "upload": playUpload, "grey": playGrey}
+	cases := map[string]func(*scene) (broken bool, err error){"history": playHistory, "lent": playLent, "upload": playUpload, "grey": playGrey, "kills": playKills}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "no case %q\n", os.Args[1])
