--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -51,7 +51,11 @@
 	time.Sleep(inSeconds(earlier))
 	stop()
 	if os.Getenv("STOP") != "0" {
-		for _, machines := range [][]*machine{s.routers, s.sides} {
+		groups := [][]*machine{s.routers, s.sides}
+		if os.Getenv("TOGETHER") != "" {
+			groups = [][]*machine{s.all()}
+		}
+		for _, machines := range groups {
 			for _, m := range machines {
 				m.signal(syscall.SIGTERM)
 			}
