--- a/review/standin/kills.go
+++ b/review/standin/kills.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// This case: the process that runs the home of the budgets is killed a few times and started
+// The script beside case 4: the process that runs the home of the budgets is killed a few times and started
 // again each time. Then tenants that were idle meanwhile use their prepaid tokens. The check is
 // DENIED: a 402 to a request that fits into the prepaid tokens.
 
