--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -38,6 +41,36 @@
 	system    *system
 }
 
+// maxRunTime is the longest time of a run, unless EARLIER makes a case longer.
+const maxRunTime = 115 * time.Second
+
+// endEarly ends all processes and the run when it takes too long or is told to end.
+func (s *scene) endEarly() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	longest := maxRunTime
+	if os.Getenv("EARLIER") != "" {
+		longest = 0
+	}
+	select {
+	case <-stop:
+	case <-after(longest):
+	}
+	s.rec.say("the case could not run: it was ended")
+	if s.system != nil {
+		s.system.stop()
+	}
+	os.Exit(notRun)
+}
+
+// after returns a channel that receives a value after a time, never if it is 0.
+func after(d time.Duration) <-chan time.Time {
+	if d == 0 {
+		return nil
+	}
+	return time.After(d)
+}
+
 func run(play func(*scene) (bool, error), root, folder string) int {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -60,6 +93,7 @@
 		return notRun
 	}
 	s := &scene{root: root, dir: dir, rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	go s.endEarly()
 	broken, err := play(s)
 	if s.system != nil {
 		s.system.stop()
