Logs: lines of requests decode again

Cause: the attribute "version" is a number in lines on configurations and the version of the software in lines of requests and entries of upstreams, so kingcuprun decoded no line of a request. Weighed: another name in the lines of the router; logs that were written before would stay unreadable. Change: kcrstory decodes an attribute of either type. A test runs a router with the log of the daemons and reads its lines; on the code before it reads 0 requests.

--- a/kingcuprun/kcrstory/story.go
+++ b/kingcuprun/kcrstory/story.go
@@ -49,9 +49,9 @@
 	Events         int       `json:"events"`
 	PromptTokens   int64     `json:"prompt"`
 	SpentTokens    int64     `json:"spent"`
-	Offset         uint64    `json:"offset"`  // of the record in the log of the platform
-	Attempts       string    `json:"tries"`   // separated by "; ", each begins with the upstream and the outcome
-	Version        uint64    `json:"version"` // of the configuration that came into force
+	Offset         uint64    `json:"offset"` // of the record in the log of the platform
+	Attempts       string    `json:"tries"`  // separated by "; ", each begins with the upstream and the outcome
+	Version        version   `json:"version"`
 	Topic          string    `json:"topic"`
 	Err            string    `json:"err"`
 	Plan           string    `json:"plan"`
@@ -160,7 +160,7 @@
 // force at its end, or nothing if no line says when it came into force.
 func (l *ProcessLogs) configAge(e logLine) string {
 	for _, c := range l.lines {
-		if c.Message == configMsg && c.VM == e.VM && c.Version == e.ConfigVersion && !c.Time.After(e.Time) {
+		if c.Message == configMsg && c.VM == e.VM && c.Version.config == e.ConfigVersion && !c.Time.After(e.Time) {
 			return fmt.Sprintf(", in force for %s", e.Time.Sub(c.Time).Round(time.Millisecond))
 		}
 	}
