kingcuprun check: a configuration checked before it is sent

Cause: an operator learned of a route that can never match, or of a team without keys, from callers. Change: package kcrcheck finds errors, entries without effect and limits that contradict each other, and what differs from the version in force, by what callers notice; platform/kcrvet prints it with file, line and column, as text or JSON. The routers' own decoder reads the file: DecodeRules is split into DecodeDraft and Rules. Not checked: attempts over a service's engines and the retry budget, which the configuration does not hold.

--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -94,6 +94,19 @@
 	longestPrefix int // bytes
 }
 
+// Draft is a version of the configuration as its author wrote it: in order, and with the entries
+// that have no effect.
+type Draft struct {
+	Version  uint64
+	Limits   Limits
+	Services []Service
+	Teams    []Team
+	Routes   []Route
+}
+
+// Rules builds the rules of the draft.
+func (d Draft) Rules() *Rules { return New(d.Version, d.Limits, d.Services, d.Teams, d.Routes) }
+
 // New builds rules. Of two routes with the same host and prefix, the first is
 // used.
 func New(version uint64, limits Limits, services []Service, teams []Team, routes []Route) *Rules {
--- a/kingcuprun/kcroperate/command.go
+++ b/kingcuprun/kcroperate/command.go
@@ -17,6 +17,7 @@
 	"kingcuprun.example/kingcuprun/kcrstory"
 	"kingcuprun.example/link/kcrplatform"
 	"kingcuprun.example/link/kcrsettings"
+	"kingcuprun.example/platform/kcrvet"
 )
 
 // This file defines the subcommands of the operators' command. They print results on
@@ -78,12 +79,18 @@
 	return New(kcrplatform.NewClient(settings.LogAddr, kcrplatform.NewHTTPClient()).Log(), settings.Buckets), settings, nil
 }
 
-// checkCommand returns the subcommand that checks the lists without publishing them.
+// checkCommand returns the subcommand that checks the lists without publishing them, or a
+// configuration of the users' platform before it is sent.
 func (c *cli) checkCommand() *cobra.Command {
+	var flags kcrvet.Flags
 	cmd := &cobra.Command{
-		Use:   "check",
-		Short: "Check the two lists, and the settings if given",
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		Use:   "check [CONFIG]",
+		Short: "Check the two lists, and the settings if given, or a configuration of the platform",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				return flags.Run(cmd, args[0])
+			}
 			configs, err := c.parseLists()
 			if err != nil {
 				return err
@@ -101,6 +108,7 @@
 		},
 	}
 	c.addListFlags(cmd)
+	flags.Register(cmd)
 	return cmd
 }
 
--- a/kingcuprun/main.go
+++ b/kingcuprun/main.go
@@ -4,15 +4,23 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
 	"kingcuprun.example/kingcuprun/kcroperate"
+	"kingcuprun.example/platform/kcrvet"
 )
 
 func main() {
-	if err := kcroperate.Command().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "kingcuprun:", err)
-		os.Exit(1)
+	err := kcroperate.Command().Execute()
+	if err == nil {
+		return
 	}
+	fmt.Fprintln(os.Stderr, "kingcuprun:", err)
+	var exit *kcrvet.ExitError
+	if errors.As(err, &exit) {
+		os.Exit(int(exit.Code))
+	}
+	os.Exit(1)
 }
