A zone that the operator empties gets no requests

Weighed: leaving the upstreams out of the table forgets limits that they have named; homes beside them go on (docs/design/zones.md).

--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -41,6 +41,7 @@
 	Slots           int               // requests that it runs at once
 	StartedAt       int64             // start of the process; a new value means a restart
 	WarmupRemaining kcrclock.Duration // how long it is still slow after its start
+	Emptied         bool              // it is in a zone that the operator has emptied, and gets no requests
 }
 
 // Request describes a request to be placed.
@@ -57,11 +58,11 @@
 // service holds the upstreams of one service.
 type service struct {
 	mu           sync.Mutex
-	upstreams    []*upstream
-	byID         map[kcrid.VM]*upstream
-	leaving      map[kcrid.VM]int64 // starts of upstreams that have said that they leave
-	latencyRatio float64            // average over all upstreams
-	rotation     int                // offset at which the next scan of the upstreams begins
+	upstreams    []*upstream            // without those in emptied zones
+	byID         map[kcrid.VM]*upstream // all
+	leaving      map[kcrid.VM]int64     // starts of upstreams that have said that they leave
+	latencyRatio float64                // average over all upstreams
+	rotation     int                    // offset at which the next scan of the upstreams begins
 }
 
 // Table is one router's view of all upstreams. It is safe for concurrent use.
@@ -97,7 +98,7 @@
 
 // Update replaces the list of upstreams. The statistics of those that stay in
 // the list are kept; one that restarted or moved to another address starts with
-// empty statistics and nothing cached.
+// empty statistics and nothing cached. One in an emptied zone counts as having nothing cached.
 func (t *Table) Update(now kcrclock.Time, upstreams []Upstream) {
 	byService := map[kcrid.Service][]Upstream{}
 	for _, u := range upstreams {
@@ -132,6 +133,10 @@
 		}
 		state.Upstream = u
 		s.byID[u.ID] = state
+		if u.Emptied {
+			clear(state.cachedParts)
+			continue
+		}
 		s.upstreams = append(s.upstreams, state)
 	}
 	s.assignLongPool()
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -167,8 +167,17 @@
 // reasonVersionGone is the reason of a stream of which no upstream is left that may go on with it.
 const reasonVersionGone = "no upstream of the version that began the stream"
 
+// reasonEmptied is the reason of a request that only upstreams in emptied zones could serve.
+const reasonEmptied = "zone emptied"
+
+// onlyEmptied reports whether only upstreams in emptied zones could serve the request.
+func (x *exchange) onlyEmptied() bool { return x.gateway.config.OnlyEmptied(x.service, x.version) }
+
 // noUpstreamReason returns why there is no upstream for an attempt.
 func (x *exchange) noUpstreamReason() string {
+	if x.onlyEmptied() {
+		return reasonEmptied
+	}
 	if x.version != "" && !x.gateway.table.HasVersion(x.service, x.version) {
 		return reasonVersionGone
 	}
@@ -370,7 +379,7 @@
 	now := g.clock.Now()
 	lostReused := a.conn != nil && a.conn.reused && result == kcrplacement.ConnectionLost
 	if a.conn != nil {
-		if a.reusable() {
+		if a.reusable() && !g.config.IsEmptied(a.choice.Zone) {
 			g.pool.put(now, a.conn, a.head)
 		} else {
 			_ = a.conn.Close()
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -72,6 +72,10 @@
 	// requests per second. If there is none, it returns the time until it is worth asking again.
 	// It may block for a moment.
 	TakePermit func(upstream kcrid.Incarnation, rate float64) (granted bool, wait kcrclock.Duration)
+	// IsEmptied reports whether no request may be sent to the upstreams of a zone, and OnlyEmptied
+	// whether all upstreams of a version of a service, "" for any, are in such zones.
+	IsEmptied   func(zone kcrid.Zone) bool
+	OnlyEmptied func(service kcrid.Service, version string) bool
 	// NoteOrigin is called with the request that brought the first event of a stream, and the
 	// version of the upstream that began it.
 	NoteOrigin func(request, version string)
@@ -271,6 +275,9 @@
 	return window
 }
 
+// CloseIdle closes the idle connections to an upstream.
+func (g *Gateway) CloseIdle(vm kcrid.VM, addr string) { g.pool.closeIdle(vm, addr) }
+
 // ActiveRequests returns the number of requests in progress.
 func (g *Gateway) ActiveRequests() int64 { return g.activeRequests.Load() }
 
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -34,11 +34,12 @@
 
 // Delays that refused callers are asked to wait, and limits of waiting.
 const (
-	retryAfterShort  = 150 * kcrclock.Millisecond // the cause clears by itself
-	retryAfterMedium = 700 * kcrclock.Millisecond // a resource has to become available
-	retryAfterOutage = 4 * kcrclock.Second        // the store has to respond again
-	retryAfterLong   = 30 * kcrclock.Second       // a retry is expected to fail as well
-	defaultTimeout   = 60 * kcrclock.Second       // if the route sets none; a caller can only shorten it
+	retryAfterShort   = 150 * kcrclock.Millisecond // the cause clears by itself
+	retryAfterMedium  = 700 * kcrclock.Millisecond // a resource has to become available
+	retryAfterOutage  = 4 * kcrclock.Second        // the store has to respond again
+	retryAfterEmptied = 4 * kcrclock.Second        // the operator has to take an order back
+	retryAfterLong    = 30 * kcrclock.Second       // a retry is expected to fail as well
+	defaultTimeout    = 60 * kcrclock.Second       // if the route sets none; a caller can only shorten it
 	// budgetWaitDivisor divides the latency target of the route, and the time until
 	// the deadline, to give the longest wait for escrow.
 	budgetWaitDivisor = 2
@@ -75,6 +76,9 @@
 		return x.refuse(statusUnavailable, "the version that began the stream is not known", retryAfterMedium)
 	}
 	x.gateway.retryWindow(x.service).RecordRequest(x.started)
+	if x.onlyEmptied() {
+		return x.refuse(statusUnavailable, reasonEmptied, retryAfterEmptied)
+	}
 	return true
 }
 
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -66,6 +66,8 @@
 			retryAfter = retryAfterMedium
 		case reasonVersionGone:
 			retryAfter = retryAfterLong
+		case reasonEmptied:
+			retryAfter = retryAfterEmptied
 		case reasonPaused:
 			retryAfter = x.pauseRetryAfter()
 		}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -88,6 +88,7 @@
 	homes             *homeDirectory
 	permits           *permitDesk
 	origins           *originDesk
+	zones             *zoneDesk
 	loans             prometheus.Counter // loans started
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
@@ -139,6 +140,7 @@
 		homes:         newHomeDirectory(),
 		permits:       newPermitDesk(),
 		origins:       newOriginDesk(),
+		zones:         newZoneDesk(),
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
@@ -155,6 +157,7 @@
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
+		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
 	})
 	if err != nil {
@@ -309,14 +312,15 @@
 	return count
 }
 
-// updateUpstreams passes the upstreams that may get requests to the placement table,
-// and the addresses of the processes beside engines to the directory of homes and the permit
-// desk.
+// updateUpstreams passes the upstreams that take requests, or will once their zone is emptied no
+// more, to the placement table, closes idle connections to the latter, and passes the addresses of
+// the processes beside engines to the directory of homes and the permit desk.
 func (n *Node) updateUpstreams() {
 	n.updating.Lock()
 	defer n.updating.Unlock()
 	var upstreams []kcrplacement.Upstream
 	var homes, leaving []string
+	var emptied, open []kcrfleet.Member
 	beside := map[kcrid.VM]string{}
 	homesByVersion, leavingByVersion := map[string][]string{}, map[string][]string{}
 	rules := n.rules.Rules()
@@ -328,8 +332,15 @@
 			}
 			continue
 		}
+		isEmptied := n.zones.orders.IsEmptied(m.Zone)
+		if isEmptied {
+			emptied = append(emptied, m)
+			n.gateway.CloseIdle(m.ID, m.Addr)
+		} else {
+			open = append(open, m)
+		}
 		upstreams = append(upstreams, kcrplacement.Upstream{
-			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold,
+			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold, Emptied: isEmptied,
 		})
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
@@ -338,6 +349,7 @@
 		}
 	}
 	n.table.Update(n.clock.Now(), upstreams)
+	n.zones.update(emptied, open)
 	if rules != nil && n.fleet.HasMembers() {
 		n.homes.update(n.clock.Now(), homes, leaving)
 		n.permits.update(beside)
@@ -429,6 +441,7 @@
 	c.Metrics.MustRegister(n.loans)
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
+	gauge("kcr_emptied_zones", "Zones that the operator has emptied.", func() float64 { return float64(n.zones.orders.Count()) })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
 		if rules := n.rules.Rules(); rules != nil {
 			return float64(rules.Version)
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -15,8 +15,8 @@
 )
 
 // This file defines the exchange of state between routers. A router asks its peers
-// for the configuration while the store does not provide it, and for the members if
-// the store has never answered. Invariants: a configuration is applied only if its
+// for the configuration and the orders for zones while the store does not provide them, and for
+// the members if the store has never answered. Invariants: a configuration is applied only if its
 // version is higher, whatever its source; members that came from the store are not
 // replaced by those of a peer.
 
@@ -57,10 +57,14 @@
 	}
 }
 
-// handleLists returns the configuration and the members that this router knows, if
-// its configuration is newer than that of the peer.
+// handleLists returns the orders for zones that this router knows, and the configuration and the
+// members if its configuration is newer than that of the peer.
 func (n *Node) handleLists(req *kcrwire.Lists) *kcrwire.Reply {
-	listed := &kcrwire.Listed{}
+	zones, err := n.encodeZones()
+	if err != nil {
+		return &kcrwire.Reply{Error: err.Error()}
+	}
+	listed := &kcrwire.Listed{Zones: zones}
 	if r := n.rules.Rules(); r != nil && r.Version > req.GetAt() {
 		state, err := json.Marshal(peerState{Config: r.Source, Members: n.fleet.Members()})
 		if err != nil {
@@ -166,6 +170,7 @@
 		n.logger.Info("configuration not learned from a peer", "peer", addr, "err", err.Error())
 		return
 	}
+	n.mergeZones(reply.GetListed().GetZones(), addr)
 	if len(reply.GetListed().GetState()) == 0 {
 		return
 	}
