Admission: requests wait for a place by rank, team and time left

Cause: a request for which no upstream had a place was refused at once, or sent to one that had just refused another; the rank of a request decided nothing at a router. A request whose turn does not come in its time is refused at once, with a time to come back that spreads the returns. The gateway lets requests wait before their first attempt while all upstreams refuse, pause or lack permits. Weighed: a queue for all routers, an adaptive limit, strict order (docs/design/admission.md). TestRequestsWaitForPlaceByRank: 503 for all on the code before, all served now, the urgent one first.

--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -77,6 +77,7 @@
 	rateLimit    RateLimit           // as it named it last
 	heardAt      atomic.Int64        // when it last sent something, as a kcrclock.Time; 0 for never
 
+	fullUntil     kcrclock.Time // has refused a request a moment before this time
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 	pausedUntil   kcrclock.Time // wants no requests before this time
 	badPause      bool          // has named a time that makes no sense
@@ -181,6 +182,7 @@
 		u.recordResult(now, 1)
 	case Refused:
 		u.avoid(now, refusalCooldown)
+		u.fullUntil = now.Add(refusalCooldown)
 	case Misdirected:
 		u.avoid(now, staleAddressCooldown)
 	case Unreachable:
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -52,6 +52,7 @@
 	Version       string       // upstreams of other versions are not chosen, "" for any
 	Excluded      []kcrid.VM   // upstreams of earlier attempts, which are not chosen again
 	Unlimited     bool         // upstreams with a rate limit are not chosen
+	SkipsFull     bool         // upstreams that have just refused a request are not chosen
 }
 
 // service holds the upstreams of one service.
@@ -198,7 +199,7 @@
 // takes reports whether an upstream may get a request now.
 func (s *service) takes(now kcrclock.Time, u *upstream, req *Request) bool {
 	switch {
-	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named:
+	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named, req.SkipsFull && u.isFull(now):
 		return false
 	case u.isWithheld(now), now < u.pausedUntil, u.triesEnough(now), s.leaves(u.ID, u.StartedAt):
 		return false
--- /dev/null
+++ b/router/kcrgateway/admission.go
@@ -0,0 +1,201 @@
+package kcrgateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"kingcuprun.example/kernel/kcradmission"
+	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrplacement"
+	"kingcuprun.example/link/kcrdaemon"
+)
+
+// This file lets requests wait that no upstream of their service takes at the moment, in the
+// order of package kcradmission. Invariants: a request that waits has not been sent; while others wait, one that arrives does not overtake them; of a
+// service, one request at a time looks for a place, and one that has found none enters again
+// with the time that it had.
+
+// admissionInterval is the time after which a request that waits looks for a place again, if
+// none has become free at this router: another router may have left one.
+const admissionInterval = 20 * time.Millisecond
+
+// maxWaitDivisor divides the time that a request has left, to give the longest wait for a
+// place. Its caller needs the rest for the answer, or to come back once.
+const maxWaitDivisor = 3
+
+// admission holds the requests of one service that wait.
+type admission struct {
+	queue *kcradmission.Queue
+
+	mu    sync.Mutex
+	turns map[kcradmission.Ticket]chan struct{} // closed when it is a request's turn
+}
+
+// admission returns the waiting requests of a service.
+func (g *Gateway) admission(service kcrid.Service) *admission {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.admissions[service]
+	if a == nil {
+		a = &admission{queue: kcradmission.New(kcradmission.DefaultConfig()), turns: map[kcradmission.Ticket]chan struct{}{}}
+		g.admissions[service] = a
+	}
+	return a
+}
+
+// enter adds a request, and returns a channel that is closed when it is its turn.
+func (a *admission) enter(now kcrclock.Time, req kcradmission.Request) (t kcradmission.Ticket, turn <-chan struct{}, entered bool, retryAfter kcrclock.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t, entered, retryAfter = a.queue.Enter(now, req)
+	if !entered {
+		return 0, nil, false, retryAfter
+	}
+	c := make(chan struct{})
+	a.turns[t] = c
+	return t, c, true, 0
+}
+
+// leave removes a request that does not wait any more.
+func (a *admission) leave(t kcradmission.Ticket) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Leave(t)
+	delete(a.turns, t)
+}
+
+// next lets the request look for a place whose turn it is.
+func (a *admission) next(now kcrclock.Time) {
+	if a.queue.Waiting() == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for {
+		t, ok := a.queue.Next(now)
+		if !ok {
+			return
+		}
+		if turn := a.turns[t]; turn != nil {
+			delete(a.turns, t)
+			close(turn)
+			return
+		}
+	}
+}
+
+// admitWaiting lets one waiting request of each service look for a place.
+func (g *Gateway) admitWaiting(context.Context) {
+	now := g.clock.Now()
+	for _, a := range g.listAdmissions() {
+		a.next(now)
+	}
+}
+
+// listAdmissions returns the waiting requests of all services.
+func (g *Gateway) listAdmissions() (list []*admission) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range g.admissions {
+		list = append(list, a)
+	}
+	return list
+}
+
+// runAdmission lets waiting requests look for places until the context ends.
+func (g *Gateway) runAdmission(ctx context.Context) {
+	kcrdaemon.RunEvery(ctx, admissionInterval, g.admitWaiting)
+}
+
+// findUpstream chooses an upstream, and waits for a place while none takes the request. It
+// returns nil if none does in time, or the caller leaves.
+func (x *exchange) findUpstream() (choice *kcrplacement.Choice) {
+	a := x.gateway.admission(x.service)
+	if a.queue.Waiting() == 0 || !x.mayWait() {
+		if choice = x.chooseUpstream(); choice != nil || !x.mayWait() {
+			return choice
+		}
+	}
+	x.gateway.metrics.waits.WithLabelValues(string(x.service)).Inc()
+	began := x.gateway.clock.Now()
+	choice = x.waitForUpstream(a)
+	x.placeWait += x.gateway.clock.Now().Sub(began)
+	return choice
+}
+
+// mayWait reports whether a wait may bring the request to an upstream: one is expected to have a
+// place in time. A request that was sent before, or must go on at one version, does not wait: the others
+// would wait for the upstreams that are left to it.
+func (x *exchange) mayWait() bool {
+	now, latest := x.gateway.clock.Now(), x.latestPlace()
+	if x.version != "" || len(x.attempts) > 0 || x.interrupted() || now >= latest {
+		return false
+	}
+	at, ok := x.gateway.table.NextPlace(now, x.service)
+	return ok && at < latest
+}
+
+// latestPlace returns until when a place is of use: after that the answer would be late, or the
+// caller's time does not suffice any more.
+func (x *exchange) latestPlace() kcrclock.Time {
+	latest := x.started.Add(x.deadline.Sub(x.started) / maxWaitDivisor)
+	if target := x.route.LatencyTarget; target > 0 {
+		latest = min(latest, x.started.Add(target))
+	}
+	return latest
+}
+
+// admissionRequest returns the place of the request in the order of those that wait.
+func (x *exchange) admissionRequest() kcradmission.Request {
+	req := kcradmission.Request{Rank: x.rank(), Latest: x.latestPlace()}
+	req.From, _ = x.gateway.table.NextPlace(x.gateway.clock.Now(), x.service)
+	if x.team != nil {
+		req.Team, req.Share = x.team.Name, float64(x.team.Prepaid)
+	}
+	return req
+}
+
+// waitForUpstream waits until an upstream takes the request. If none does in time, or if its
+// time would not suffice, it sets when the caller is to come back.
+func (x *exchange) waitForUpstream(a *admission) *kcrplacement.Choice {
+	g, req := x.gateway, x.admissionRequest()
+	for ; x.mayWait(); req = x.admissionRequest() {
+		ticket, turn, entered, retryAfter := a.enter(g.clock.Now(), req)
+		if !entered {
+			x.returnAfter = retryAfter
+			return nil
+		}
+		if !x.awaitTurn(turn, req.Latest) {
+			a.leave(ticket)
+			break
+		}
+		if x.interrupted() {
+			a.next(g.clock.Now())
+			return nil
+		}
+		if choice := x.chooseUpstream(); choice != nil {
+			a.queue.Placed(g.clock.Now(), req)
+			a.next(g.clock.Now())
+			return choice
+		}
+	}
+	x.returnAfter = a.queue.Refuse(g.clock.Now())
+	return nil
+}
+
+// awaitTurn waits for the turn of the request, and reports whether it came before its time was
+// over or its caller left.
+func (x *exchange) awaitTurn(turn <-chan struct{}, latest kcrclock.Time) bool {
+	timer := time.NewTimer(max(0, latest.Sub(x.gateway.clock.Now())).Std())
+	defer timer.Stop()
+	select {
+	case <-turn:
+		return true
+	case <-timer.C:
+		return false
+	case <-x.cancelled:
+		return false
+	}
+}
--- /dev/null
+++ b/router/kcrgateway/admission_test.go
@@ -0,0 +1,74 @@
+package kcrgateway_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// newPausingUpstream starts an upstream that wants nothing for 0.4 s after its first request, and
+// serves any other.
+func newPausingUpstream(t *testing.T) *upstream {
+	t.Helper()
+	return newUpstream(t, "u", func(n int, req request, conn net.Conn) bool {
+		if n == 1 {
+			return respond(conn, req.id(), "503 Busy", "X-Not-Run: 1\r\nRetry-After: 0.4\r\n", "")
+		}
+		return respond(conn, req.id(), "200 OK", "", "fine")
+	})
+}
+
+// Guards against refusals while an upstream will soon have a place, and against an order in which
+// requests of a lower rank go before an urgent one that came after them.
+func TestRequestsWaitForPlaceByRank(t *testing.T) {
+	t.Parallel()
+	u := newPausingUpstream(t)
+	gw := newTestGateway(t, u)
+	sendAll(t, gw, 1)
+	const patient = 5
+	statuses := make(chan int, patient+1)
+	send := func(path string) {
+		head, _, err := roundTrip(t, gw, path, "X-Deadline: 5000\r\n")
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+			statuses <- 0
+			return
+		}
+		statuses <- head.Status
+	}
+	for range patient {
+		go send("/patient/1")
+	}
+	time.Sleep(100 * time.Millisecond)
+	go send("/urgent/1")
+	for range patient + 1 {
+		if status := <-statuses; status != 200 {
+			t.Errorf("expected a request that waits to be served, got status %d", status)
+		}
+	}
+	received := u.receivedRequests()
+	if len(received) != patient+2 || !strings.HasPrefix(received[1].head.Target, "/urgent/") {
+		t.Errorf("expected the urgent request first of %d, got %d, first %q", patient+1, len(received)-1, received[1].head.Target)
+	}
+}
+
+// Guards against requests whose caller has left while they waited.
+func TestRequestThatWaitsIsNotSentAfterItsCallerLeft(t *testing.T) {
+	t.Parallel()
+	u := newPausingUpstream(t)
+	gw := newTestGateway(t, u)
+	sendAll(t, gw, 1)
+	conn := dial(t, gw)
+	_, rawRequest := newRequest("/patient/1", "", "body")
+	if _, err := io.WriteString(conn, rawRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	_ = conn.Close()
+	time.Sleep(500 * time.Millisecond)
+	if n := len(u.receivedRequests()); n != 1 {
+		t.Errorf("expected no request of a caller that left, got %d", n-1)
+	}
+}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -88,6 +88,7 @@
 		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
 		req.TransferBytes = len(x.body) + streamOverheadBytes
 	}
+	req.SkipsFull = len(x.attempts) == 0
 	for _, record := range x.attempts {
 		req.Excluded = append(req.Excluded, record.vm)
 	}
@@ -111,7 +112,7 @@
 	if reason = x.banReason(); reason != "" {
 		return nil, stateNotRun, reason
 	}
-	choice := x.chooseUpstream()
+	choice := x.findUpstream()
 	if choice == nil {
 		return nil, stateNotRun, x.noUpstreamReason()
 	}
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -125,6 +125,7 @@
 	mu           sync.Mutex
 	conns        map[net.Conn]*connState                 // open connections of callers
 	retryWindows map[kcrid.Service]*kcrroute.RetryWindow // retry budgets
+	admissions   map[kcrid.Service]*admission            // requests that wait for a place
 }
 
 // connState is what a planned stop needs to know of a caller's connection.
@@ -156,6 +157,7 @@
 		metrics:      newMetrics(c.Metrics),
 		conns:        map[net.Conn]*connState{},
 		retryWindows: map[kcrid.Service]*kcrroute.RetryWindow{},
+		admissions:   map[kcrid.Service]*admission{},
 	}
 	if g.listener, err = net.Listen("tcp", c.ListenAddr); err != nil {
 		return nil, err
@@ -164,6 +166,7 @@
 	g.cancelLoops = cancel
 	g.goroutines.Go(g.acceptLoop)
 	g.goroutines.Go(func() { g.sweepLoop(ctx) })
+	g.goroutines.Go(func() { g.runAdmission(ctx) })
 	g.goroutines.Go(func() { kcrdaemon.RunEvery(ctx, checkInterval, g.checkDue) })
 	return g, nil
 }
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -196,6 +196,7 @@
 		[]kcrrule.Route{
 			route("/once/", kcrrule.AtMostOnce, 1, false), route("/safe/", kcrrule.Idempotent, 2, false),
 			route("/stream/", kcrrule.Stream, 1, false), route("/resume/", kcrrule.Stream, 2, true),
+			withRank(route("/urgent/", kcrrule.AtMostOnce, 1, false), 0), withRank(route("/patient/", kcrrule.AtMostOnce, 1, false), 5),
 		}))
 	var members []kcrplacement.Upstream
 	for _, u := range upstreams {
@@ -225,6 +226,12 @@
 	return gw
 }
 
+// withRank returns a route of a rank whose requests have time to wait for an upstream.
+func withRank(r kcrrule.Route, rank int) kcrrule.Route {
+	r.Priority, r.Timeout, r.LatencyTarget = rank, 6000, 2000
+	return r
+}
+
 // placeNearAndFar puts one upstream into the gateway's zone and another into a
 // different one, so that the first attempt goes to the near one.
 func (gw *testGateway) placeNearAndFar(near, far *upstream) {
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -12,6 +12,7 @@
 	totalLatency *prometheus.HistogramVec // until the end of the response
 	dials        prometheus.Counter       // new connections to upstreams
 	permits      *prometheus.CounterVec   // asked for, by service and whether they were granted
+	waits        *prometheus.CounterVec   // of requests for a place, by service
 }
 
 // routeKindLabel is the label for the kind of a route.
@@ -29,7 +30,8 @@
 		totalLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_whole_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		dials:        prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_gateway_dials_total", Help: "New connections to upstreams."}),
 		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{"service", "granted"}),
+		waits:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_waits_total", Help: "Requests that waited, or were refused, since no upstream of their service had a place."}, []string{"service"}),
 	}
-	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits)
+	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.waits)
 	return m
 }
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -309,14 +309,16 @@
 	maxPriority  = 9
 )
 
-// priority returns the scheduling priority of the request at an engine. The priority of
-// the team takes precedence over that of the route.
-func (x *exchange) priority() int {
-	priority := x.route.Priority
+// priority returns the scheduling priority of the request at an engine.
+func (x *exchange) priority() int { return min(maxPriority, basePriority+priorityStep*x.rank()) }
+
+// rank returns the priority that the configuration gives the request; 0 goes first. The priority
+// of the team takes precedence over that of the route.
+func (x *exchange) rank() int {
 	if x.team != nil && x.team.Priority >= 0 {
-		priority = x.team.Priority
+		return x.team.Priority
 	}
-	return min(maxPriority, basePriority+priorityStep*priority)
+	return x.route.Priority
 }
 
 // removeField removes the fields of a name in place.
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -69,6 +69,10 @@
 		case reasonPaused:
 			retryAfter = x.pauseRetryAfter()
 		}
+		if x.returnAfter > 0 && reason != reasonPaused && reason != reasonVersionGone {
+			x.respondInTurn(reason)
+			return
+		}
 		x.respond(statusUnavailable, reason, retryAfter)
 	case x.remaining() <= 0:
 		x.respond(statusGatewayTimeout, reason, 0)
@@ -87,8 +91,23 @@
 	return retryAfterShort
 }
 
-// respond writes a response of the gateway itself, which has no signature.
+// respondInTurn refuses a request for which there was no place, with the time at which it is its
+// turn to come back.
+func (x *exchange) respondInTurn(reason string) {
+	x.respondAt(statusUnavailable, reason, x.returnAfter)
+}
+
+// respond writes a response of the gateway itself, which has no signature. Jitter spreads the
+// return of the callers.
 func (x *exchange) respond(status int, reason string, retryAfter kcrclock.Duration) {
+	if retryAfter > 0 {
+		retryAfter = jitter(retryAfter)
+	}
+	x.respondAt(status, reason, retryAfter)
+}
+
+// respondAt writes a response of the gateway itself, with the exact time to come back.
+func (x *exchange) respondAt(status int, reason string, retryAfter kcrclock.Duration) {
 	x.outcome = strconv.Itoa(status)
 	x.reason = reason
 	c := x.caller
@@ -98,7 +117,7 @@
 		buf = kcrhttp.AppendField(buf, x.gateway.headerNames.RequestID, x.id)
 	}
 	if retryAfter > 0 {
-		buf = kcrhttp.AppendField(buf, x.gateway.headerNames.RetryAfter, x.gateway.inSeconds(jitter(retryAfter)))
+		buf = kcrhttp.AppendField(buf, x.gateway.headerNames.RetryAfter, x.gateway.inSeconds(retryAfter))
 	}
 	buf = x.appendConnectionField(buf)
 	buf = kcrhttp.AppendContentLength(buf, len(reason))
@@ -178,7 +197,7 @@
 	x.gateway.logger.LogAttrs(logContext, level, "request",
 		slog.String("req", x.id), slog.String("team", x.teamName()), slog.String("route", route), slog.Uint64("config", version),
 		slog.String("service", string(x.service)), slog.String("version", x.version), slog.String("outcome", x.outcome), slog.String("why", x.reason), slog.Uint64("content", content),
-		slog.Int64("ms", int64(duration)), slog.Int64("wait", int64(x.budgetWait)), slog.Int64("first", int64(x.firstLatency)), slog.Int("events", x.deliveredEvents), slog.Int64("pause", int64(x.longestGap)),
+		slog.Int64("ms", int64(duration)), slog.Int64("wait", int64(x.budgetWait)), slog.Int64("queued", int64(x.placeWait)), slog.Int64("first", int64(x.firstLatency)), slog.Int("events", x.deliveredEvents), slog.Int64("pause", int64(x.longestGap)),
 		slog.Int64("prompt", int64(x.usage.prompt)), slog.Int64("spent", int64(x.spentTokens)), slog.String("tries", formatAttempts(x.attempts)))
 }
 
