Budgets: a repeated append confirms nothing a second time

Cause: a wallet learned which of its bounds is in force from its own records as it read them back. A second copy of a record changes nothing on the ledger, and was taken for a record whose bound never came into force, so that the bound in force was dropped and the next one, still on its way, counted. Home killed: the successor settles at the older bound, and the difference is handed out again.

Taken: what is in flight and in force follows from the ledger alone (last sequence applied, sequence of the bound that it shows).

--- a/bench/kcrcommand/proof.go
+++ b/bench/kcrcommand/proof.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -19,11 +20,12 @@
 // proofCommand returns the subcommand that runs all proofs and prints their rows.
 func proofCommand() *cobra.Command {
 	var seeds int
+	var only string
 	cmd := &cobra.Command{
 		Use:   "proof",
 		Short: "Prove the invariants under generated faults",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			failed, err := kcrproof.Print(cmd.OutOrStdout(), kcrproof.Proofs(), seeds)
+			failed, err := kcrproof.Print(cmd.OutOrStdout(), selectProofs(only), seeds)
 			if err != nil {
 				return err
 			}
@@ -31,9 +33,15 @@
 		},
 	}
 	cmd.Flags().IntVar(&seeds, "seeds", 1000, "schedules for each proof")
+	cmd.Flags().StringVar(&only, "only", "", "name of the only proof to run")
 	return cmd
 }
 
+// selectProofs returns the proof with a name, or all if the name is empty.
+func selectProofs(name string) []kcrproof.Proof {
+	return slices.DeleteFunc(kcrproof.Proofs(), func(p kcrproof.Proof) bool { return name != "" && p.Name != name })
+}
+
 // checkKnownFailures returns an error if a failed proof is not a known failure.
 func checkKnownFailures(failed []string) error {
 	known, err := os.ReadFile(knownFailuresFile)
--- a/bench/kcrproof/escrow.go
+++ b/bench/kcrproof/escrow.go
@@ -130,6 +130,7 @@
 // of stream records that the process has read.
 type machine struct {
 	vm          kcrid.VM
+	self        kcrid.Incarnation // holder name of the process
 	isBorrower  bool
 	bootedAt    kcrclock.Time // time of day at which the machine booted
 	clockOffset kcrclock.Time // monotonic clock of the machine minus the time of the schedule
@@ -140,6 +141,7 @@
 // escrowState is the state that a schedule leads to.
 type escrowState struct {
 	rules        EscrowRules
+	policy       func(isBorrower bool) kcrbudget.Policy
 	now          kcrclock.Time
 	stream       [][]byte
 	lateAppends  [][][]byte
@@ -165,10 +167,18 @@
 	}
 }
 
+// roleEscrowPolicy returns the policy of a home, or of a router that borrows.
+func roleEscrowPolicy(isBorrower bool) kcrbudget.Policy {
+	if isBorrower {
+		return escrowPolicy(0)
+	}
+	return escrowPolicy(escrowTarget)
+}
+
 // newEscrowState returns the start of every schedule: both processes run, the limit is
 // on the stream, and the home holds a grant.
 func newEscrowState(rules EscrowRules) *escrowState {
-	s := &escrowState{rules: rules, now: 1, limit: escrowLimit, highestLimit: escrowLimit, limitVersion: 1}
+	s := &escrowState{rules: rules, policy: roleEscrowPolicy, now: 1, limit: escrowLimit, highestLimit: escrowLimit, limitVersion: 1}
 	s.home = &machine{vm: "home", clockOffset: kcrclock.Time(uptimeAtStart)}
 	s.router = &machine{vm: "router", isBorrower: true, clockOffset: kcrclock.Time(uptimeAtStart)}
 	s.startProcess(s.home)
@@ -181,14 +191,11 @@
 // startProcess starts a new process on a machine. It has read nothing of the stream.
 func (s *escrowState) startProcess(m *machine) {
 	s.processCount++
-	target := kcrid.Tokens(escrowTarget)
-	if m.isBorrower {
-		target = 0
-	}
 	m.cursor = 0
+	m.self = kcrid.IncarnationOf(m.vm, fmt.Sprint(s.processCount))
 	m.wallet = kcrbudget.NewWallet(kcrbudget.WalletConfig{
-		Self: kcrid.IncarnationOf(m.vm, fmt.Sprint(s.processCount)), Borrower: m.isBorrower, LedgerRules: s.rules.Ledger, Rules: s.rules.Wallet,
-		Policy: escrowPolicy(target),
+		Self: m.self, Borrower: m.isBorrower, LedgerRules: s.rules.Ledger, Rules: s.rules.Wallet,
+		Policy: s.policy(m.isBorrower),
 		BootClock: kcrbudget.BootClock{
 			BootID: 1, BootedAt: m.bootedAt, Now: func() kcrclock.Time { return s.rules.MonotonicClock(m.clockOffset + s.now) },
 		},
@@ -380,6 +387,7 @@
 // current schedule.
 type explorer struct {
 	rules       EscrowRules
+	moves       []move
 	visited     map[uint64]int // state to moves left
 	occurrences [moveCount]int
 }
@@ -402,7 +410,7 @@
 	if movesLeft == 0 {
 		return nil
 	}
-	for m := range moveCount {
+	for _, m := range x.moves {
 		if limit, ok := maxOccurrences[m]; ok && x.occurrences[m] >= limit {
 			continue
 		}
@@ -444,7 +452,30 @@
 // ExploreEscrow explores all schedules up to a length and returns the first violation.
 // States is the number of different states.
 func ExploreEscrow(rules EscrowRules, length int) (states int, err error) {
-	x := &explorer{rules: rules, visited: map[uint64]int{}}
+	var all []move
+	for m := range moveCount {
+		all = append(all, m)
+	}
+	return explore(rules, all, length)
+}
+
+// repeatMoves are the moves that bring a record to the stream again after the home has gone on, and
+// end the home.
+var repeatMoves = []move{homeRound, homeReads, homeWriteLate, lateArrives, homeLends, homeKilled}
+
+// repeatScheduleMoves is the length up to which all schedules of repeatMoves are explored. A repeat
+// that a wallet takes for news of a bound costs tokens after 13 moves: the home has lent within one
+// bound, claims with a second one, writes it late and again, and asks for a third; the late write
+// arrives, the home reads it, lends within the third, and is killed; its successor settles and claims.
+const repeatScheduleMoves = 13
+
+// ExploreRepeats explores all schedules of repeatMoves.
+func ExploreRepeats(rules EscrowRules) (states int, err error) {
+	return explore(rules, repeatMoves, repeatScheduleMoves)
+}
+
+func explore(rules EscrowRules, moves []move, length int) (states int, err error) {
+	x := &explorer{rules: rules, moves: moves, visited: map[uint64]int{}}
 	err = x.explore(nil, length)
 	return len(x.visited), err
 }
@@ -475,11 +506,16 @@
 		row.Err = err
 		return row
 	}
+	repeatStates, err := ExploreRepeats(DefaultEscrowRules())
+	if err != nil {
+		row.Err = err
+		return row
+	}
 	if _, err := replayViolations(Mutant[EscrowRules]{Change: func(*EscrowRules) {}}); err != nil {
 		row.Err = err
 		return row
 	}
-	row.Note = fmt.Sprintf("%d states; breaks when", states)
+	row.Note = fmt.Sprintf("%d states, and %d with %d moves around repeats; breaks when", states, repeatStates, repeatScheduleMoves)
 	for _, m := range EscrowMutants() {
 		moves, err := findLength(m)
 		if err == nil {
--- a/bench/kcrproof/proof.go
+++ b/bench/kcrproof/proof.go
@@ -50,6 +50,7 @@
 	onceSteps         = 8000
 	configSteps       = 400
 	frameFilterRounds = 200
+	walletsSteps      = 600
 )
 
 // Proofs returns the proofs in the order in which the requirements list the
@@ -67,6 +68,11 @@
 			rules:     kcranswer.DefaultFrameFilterRules(), mutants: FrameFilterMutants(), check: CheckFrameFilter, steps: frameFilterRounds,
 		}.prove},
 		{"escrow", proveEscrow},
+		{"wallets", proofSpec[EscrowRules]{
+			invariant: "homes that lend and a router never spend past what is prepaid, and no successor settles a grant at less than was drawn",
+			faults:    "late, lost and repeated appends in any order, snapshots in place of records, lost loans and returns, kills, planned stops, loss of power, limits that change",
+			rules:     DefaultEscrowRules(), mutants: WalletMutants(), check: CheckWallets, steps: walletsSteps,
+		}.prove},
 		{"once", proofSpec[kcrintent.Rules]{
 			invariant: "a non-idempotent call runs at most once; \"not run\" did not run",
 			faults:    "kill, freeze between check and call, cut, log down, answer lost, late copies",
--- a/kernel/kcrbudget/bound.go
+++ b/kernel/kcrbudget/bound.go
@@ -12,8 +12,8 @@
 // reports the limit to the ledger. After a crash, the next process on the same
 // machine uses the last bound to prove how little the wallet may have spent.
 // Invariants: a wallet keeps to every bound that may be the newest on the
-// ledger: the last one that it has read there, and each one that it has sent
-// since. A bound is measured by the monotonic clock of the machine, which keeps
+// ledger: the one that the ledger shows, and each one that it has sent and that the ledger
+// has not applied. A bound is measured by the monotonic clock of the machine, which keeps
 // running when a process dies. A successor on another machine, or after a
 // restart of the machine, proves nothing. Not every machine has a new boot id
 // after a restart, so the wall time at which the clock was zero must match as
@@ -111,31 +111,12 @@
 	ps.sentBounds = append(ps.sentBounds, sentBound{seq: seq, bound: b, at: now})
 }
 
-// confirmBound handles the record of a bound when it is read back from the log.
-// applied tells whether the record changed the ledger.
-func (ps *walletPlanState) confirmBound(seq uint64, applied bool) {
-	if applied {
-		ps.dropOlderBounds(seq)
-		return
-	}
-	ps.dropBound(seq)
-}
-
-// dropOlderBounds drops the bounds that the bound of record seq has replaced on
-// the ledger.
-func (ps *walletPlanState) dropOlderBounds(seq uint64) {
-	i := 0
-	for i < len(ps.sentBounds) && ps.sentBounds[i].seq < seq {
-		i++
-	}
-	if i < len(ps.sentBounds) && ps.sentBounds[i].seq == seq {
-		ps.sentBounds = ps.sentBounds[i:]
-	}
-}
-
-// dropBound drops a bound whose record did not change the ledger.
-func (ps *walletPlanState) dropBound(seq uint64) {
-	ps.sentBounds = slices.DeleteFunc(ps.sentBounds, func(sent sentBound) bool { return sent.seq == seq })
+// dropDecidedBounds drops the bounds of the records up to applied, which the ledger has applied,
+// except the one that it shows.
+func (w *Wallet) dropDecidedBounds(ps *walletPlanState, applied, shown uint64) {
+	ps.sentBounds = slices.DeleteFunc(ps.sentBounds, func(sent sentBound) bool {
+		return sent.seq <= applied && !w.rules.ShowsBound(sent.seq, shown)
+	})
 }
 
 // inheritGrants closes the grants of earlier processes on this machine. Each
--- a/kernel/kcrbudget/claim.go
+++ b/kernel/kcrbudget/claim.go
@@ -7,8 +7,9 @@
 )
 
 // This file defines how a wallet raises its grant on the ledger: claims, and the bounds of
-// what it may have drawn. Invariant: a wallet draws nothing beyond a bound that the ledger
-// has confirmed.
+// what it may have drawn. Invariants: a wallet draws nothing beyond the bound that the ledger
+// shows; what a wallet takes to be in flight or in force follows from the state of its ledger, and
+// from nothing that depends on which copies of its records it reads, or how often.
 
 // Claim claims escrow for a request that does not fit. It returns Pending, or the
 // reason why no escrow can come.
@@ -74,7 +75,11 @@
 		w.lastRecordAt[writer] = now
 	}
 	if writer == w.self {
-		w.confirm(now, eff, e)
+		if eff.Kind == Claimed {
+			ps := w.planState(eff.Plan)
+			ps.unmet, ps.unmetAt = eff.Unmet > 0, now
+		}
+		w.confirmApplied(now)
 		return eff
 	}
 	switch {
@@ -88,37 +93,37 @@
 	return eff
 }
 
-// confirm handles a record of this wallet that was read back from the stream.
-func (w *Wallet) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
-	w.outbox.Confirm(e.GetSeq())
-	w.confirmRestated(e.GetSeq())
-	switch {
-	case e.GetCarry() != nil:
-		if ps := w.planState(kcrid.Plan(e.GetCarry().GetPlan())); ps.carrySeq == e.GetSeq() {
-			ps.carrySeq = 0
+// confirmApplied brings what the wallet takes to be in flight into agreement with its ledger.
+// Calling it again changes nothing.
+func (w *Wallet) confirmApplied(now kcrclock.Time) {
+	applied := w.ledger.Applied(w.self)
+	w.outbox.Confirm(applied)
+	w.confirmRestated(applied)
+	for _, p := range sortedKeys(w.planStates) {
+		ps := w.planStates[p]
+		w.dropDecidedBounds(ps, applied, w.ledger.Grant(w.self, p).BoundSeq)
+		if claimed := ps.confirmSent(applied); claimed && w.retired { // the claim was granted after Retire
+			w.returnFree(now, p, ps)
 		}
-	case e.GetRestate() != nil:
-		w.planState(kcrid.Plan(e.GetRestate().GetPlan())).confirmBound(e.GetSeq(), eff.Kind == Restated)
-	case e.GetClaim() != nil:
-		ps := w.planState(kcrid.Plan(e.GetClaim().GetPlan()))
-		if ps.claimSeq == e.GetSeq() {
-			ps.claimSeq = 0
-		}
-		ps.unmet = eff.Unmet > 0
-		ps.unmetAt = now
-		ps.confirmBound(e.GetSeq(), eff.Tokens > 0)
-		if w.retired { // the claim was granted after Retire
-			w.returnFree(now, kcrid.Plan(e.GetClaim().GetPlan()), ps)
+	}
+}
+
+// confirmSent forgets what was sent with the records up to applied. It reports whether that
+// includes the claim in flight.
+func (ps *walletPlanState) confirmSent(applied uint64) (claimed bool) {
+	for seq, returned := range ps.returnsBySeq {
+		if seq <= applied {
+			ps.returning -= returned
+			delete(ps.returnsBySeq, seq)
 		}
-	case e.GetMark() != nil:
-		ps := w.planState(kcrid.Plan(e.GetMark().GetPlan()))
-		ps.returning -= ps.returnsBySeq[e.GetSeq()]
-		delete(ps.returnsBySeq, e.GetSeq())
-		if ps.raiseSeq == e.GetSeq() {
-			ps.raiseSeq = 0
+	}
+	claimed = ps.claimSeq != 0 && ps.claimSeq <= applied
+	for _, sent := range []*uint64{&ps.claimSeq, &ps.raiseSeq, &ps.carrySeq} {
+		if *sent <= applied {
+			*sent = 0
 		}
-		ps.confirmBound(e.GetSeq(), eff.Kind == Marked)
 	}
+	return claimed
 }
 
 // returnForUnmet returns idle escrow so that another holder's claim can be met.
--- a/kernel/kcrbudget/home.go
+++ b/kernel/kcrbudget/home.go
@@ -324,8 +324,11 @@
 	defer h.mu.Unlock()
 	eff := h.ledger.Apply(off, e)
 	if kcrid.Incarnation(e.GetWriter()) == h.self {
-		h.outbox.Confirm(e.GetSeq())
-		h.confirm(now, eff, e)
+		if eff.Kind == Claimed {
+			ps := h.planState(eff.Plan)
+			ps.denied, ps.deniedAt = eff.Tokens == 0, now
+		}
+		h.confirmApplied()
 		return eff
 	}
 	if eff.Kind == Claimed && eff.Unmet > 0 && h.ready && !h.isFenced() {
@@ -437,9 +440,13 @@
 	return h.ledger.Snapshot()
 }
 
-// Restore loads a snapshot of the ledger if it is newer.
-func (h *Home) Restore(data []byte) (bool, error) {
+// Restore loads a snapshot of the ledger if it is newer. It stands for the records that it covers,
+// also for those of this home.
+func (h *Home) Restore(data []byte) (newer bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ledger.Restore(data)
+	if newer, err = h.ledger.Restore(data); newer {
+		h.confirmApplied()
+	}
+	return newer, err
 }
--- a/kernel/kcrbudget/home_plan.go
+++ b/kernel/kcrbudget/home_plan.go
@@ -94,24 +94,25 @@
 	}}})
 }
 
-// confirm handles a record of this home that was read back from the stream.
-func (h *Home) confirm(now kcrclock.Time, eff Effect, e *kcrentry.Entry) {
-	if c := e.GetClose(); c != nil {
-		delete(h.sidecars, kcrid.Incarnation(c.GetServer()))
+// confirmApplied brings what the home takes to be in flight into agreement with its ledger.
+// Calling it again changes nothing.
+func (h *Home) confirmApplied() {
+	applied := h.ledger.Applied(h.self)
+	h.outbox.Confirm(applied)
+	for s, state := range h.sidecars {
+		if state.closeSeq != 0 && state.closeSeq <= applied {
+			delete(h.sidecars, s)
+		}
 	}
-	switch eff.Kind {
-	case Claimed:
-		ps := h.planState(eff.Plan)
-		ps.claimSeq = 0
-		ps.denied = eff.Tokens == 0
-		ps.deniedAt = now
-	case Marked:
-		ps := h.planState(eff.Plan)
-		ps.returning -= ps.returnsBySeq[e.GetSeq()]
-		delete(ps.returnsBySeq, e.GetSeq())
-	case Ignored:
-		if c := e.GetClaim(); c != nil {
-			h.planState(kcrid.Plan(c.GetPlan())).claimSeq = 0
+	for _, ps := range h.planStates {
+		if ps.claimSeq <= applied {
+			ps.claimSeq = 0
+		}
+		for seq, returned := range ps.returnsBySeq {
+			if seq <= applied {
+				ps.returning -= returned
+				delete(ps.returnsBySeq, seq)
+			}
 		}
 	}
 }
--- a/kernel/kcrbudget/home_sidecars.go
+++ b/kernel/kcrbudget/home_sidecars.go
@@ -14,7 +14,7 @@
 // sidecarState is the state of a sidecar that reservations may go to.
 type sidecarState struct {
 	openRequested bool                        // an Open record was sent
-	closing       bool                        // a Close record is on its way to the ledger
+	closeSeq      uint64                      // sequence of the Close record on its way to the ledger, 0 if none is
 	used          map[kcrid.Plan]kcrid.Tokens // settled and reserved
 	unsettled     map[uint64]kcrid.CallID     // calls of the reservations that are not settled, by reservation
 }
@@ -54,7 +54,7 @@
 		state = newSidecarState()
 		h.sidecars[s] = state
 	}
-	if h.rules.IsClosing(state.closing) {
+	if h.rules.IsClosing(state.closeSeq != 0) {
 		return false
 	}
 	if !state.openRequested {
@@ -142,7 +142,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state, ok := h.sidecars[s]
-	if !ok || state.closing || h.isFenced() {
+	if !ok || state.closeSeq != 0 || h.isFenced() {
 		return
 	}
 	for callID, c := range h.calls {
@@ -157,8 +157,7 @@
 		}
 	}
 	h.sidecars[s] = newSidecarState()
-	h.sidecars[s].closing = true
-	h.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Close{Close: msg}})
+	h.sidecars[s].closeSeq = h.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Close{Close: msg}})
 }
 
 // settleLostCall counts the reservation of a lost call as spent and forgets the
--- a/kernel/kcrbudget/ledger.go
+++ b/kernel/kcrbudget/ledger.go
@@ -27,7 +27,10 @@
 
 // This file defines the ledger. Invariants: for every plan, the open grants and
 // the settled spending never exceed the credits that precede them on the
-// stream; a fenced holder cannot change its grants; each grant is closed once.
+// stream; a fenced holder cannot change its grants; each grant is closed once. The state depends
+// on the first copy of each record only, and a snapshot of it stands for all records before: what a
+// writer learns of its own records, it asks the state (Applied, Grant), since it may read a
+// record once, more than once, or not at all.
 
 // Account is the state of one plan on the ledger.
 type Account struct {
@@ -52,12 +55,13 @@
 
 // Grant is the escrow that one holder has for one plan. Spent is what the holder
 // reported. ClosedSpent is what was spent at sidecars that the holder has closed.
-// Bound is the newest spending bound of the holder.
+// Bound is the newest spending bound of the holder, of its record with sequence BoundSeq.
 type Grant struct {
 	Amount      kcrid.Tokens `json:"amount"`
 	Spent       kcrid.Tokens `json:"spent"`
 	ClosedSpent kcrid.Tokens `json:"gone"`
 	Bound       Bound        `json:"bound"`
+	BoundSeq    uint64       `json:"boundSeq,omitempty"`
 }
 
 // knownSpent returns the least that the holder is known to have spent.
@@ -194,6 +198,10 @@
 	return nil
 }
 
+// Applied returns the sequence of the last record of a writer that was applied, 0 if none was. All
+// its records up to that one have had their effect.
+func (l *Ledger) Applied(writer kcrid.Incarnation) uint64 { return l.seen[writer] }
+
 // UnspentByOthers returns the most that holders other than self may still spend.
 func (l *Ledger) UnspentByOthers(p kcrid.Plan, self kcrid.Incarnation) (sum kcrid.Tokens) {
 	for name, h := range l.holders {
@@ -241,7 +249,7 @@
 	case *kcrentry.Entry_Era:
 		return l.beginEra(k.Era.GetNumber())
 	case *kcrentry.Entry_Restate:
-		return l.restate(writer, k.Restate)
+		return l.restate(writer, e.GetSeq(), k.Restate)
 	case *kcrentry.Entry_Carry:
 		return l.carry(k.Carry)
 	case *kcrentry.Entry_Inherit:
@@ -249,9 +257,9 @@
 	case *kcrentry.Entry_Limit:
 		return l.limit(k.Limit)
 	case *kcrentry.Entry_Claim:
-		return l.claim(writer, k.Claim)
+		return l.claim(writer, e.GetSeq(), k.Claim)
 	case *kcrentry.Entry_Mark:
-		return l.mark(writer, k.Mark)
+		return l.mark(writer, e.GetSeq(), k.Mark)
 	case *kcrentry.Entry_Open:
 		return l.open(writer, k.Open)
 	case *kcrentry.Entry_Close:
@@ -328,7 +336,7 @@
 }
 
 // claim grants escrow to the writer.
-func (l *Ledger) claim(writer kcrid.Incarnation, c *kcrentry.Claim) Effect {
+func (l *Ledger) claim(writer kcrid.Incarnation, seq uint64, c *kcrentry.Claim) Effect {
 	plan, want := kcrid.Plan(c.GetPlan()), kcrid.Tokens(c.GetTokens())
 	h := l.holder(writer)
 	if want <= 0 || l.rules.IsFenced(h.Fenced) {
@@ -346,21 +354,21 @@
 		h.Grants[plan] = g
 	}
 	g.Amount += got
-	g.Bound = boundFromEntry(c.GetBound())
+	g.Bound, g.BoundSeq = boundFromEntry(c.GetBound()), seq
 	a.Granted += got
 	return eff
 }
 
 // mark records the reported spending and the bound of the writer's grant, and
 // makes the returned part of the grant available.
-func (l *Ledger) mark(writer kcrid.Incarnation, m *kcrentry.Mark) Effect {
+func (l *Ledger) mark(writer kcrid.Incarnation, seq uint64, m *kcrentry.Mark) Effect {
 	plan, returned := kcrid.Plan(m.GetPlan()), kcrid.Tokens(m.GetBack())
 	g := l.grant(writer, plan)
 	if g == nil || l.rules.IsFenced(l.holders[writer].Fenced) {
 		return Effect{}
 	}
 	g.Spent = min(g.Amount, max(g.Spent, kcrid.Tokens(m.GetSpent())))
-	g.Bound = boundFromEntry(m.GetBound())
+	g.Bound, g.BoundSeq = boundFromEntry(m.GetBound()), seq
 	if returned < 0 || returned > g.Amount-g.knownSpent() {
 		return Effect{Kind: Marked, Plan: plan, Holder: writer}
 	}
--- a/kernel/kcrbudget/restore.go
+++ b/kernel/kcrbudget/restore.go
@@ -41,14 +41,14 @@
 	}
 	for _, h := range l.holders {
 		for _, g := range h.Grants {
-			g.Bound = Bound{}
+			g.Bound, g.BoundSeq = Bound{}, 0
 		}
 	}
 	return Effect{Kind: EraBegun}
 }
 
 // restate sets the grant of the writer.
-func (l *Ledger) restate(writer kcrid.Incarnation, r *kcrentry.Restate) Effect {
+func (l *Ledger) restate(writer kcrid.Incarnation, seq uint64, r *kcrentry.Restate) Effect {
 	h := l.holder(writer)
 	if r.GetEra() != l.era || r.GetAmount() < 0 || l.rules.IsFenced(h.Fenced) {
 		return Effect{}
@@ -66,7 +66,7 @@
 	a.Restated += change
 	g.Amount += change
 	g.Spent = min(g.Amount, max(g.Spent, kcrid.Tokens(r.GetSpent())))
-	g.Bound = boundFromEntry(r.GetBound())
+	g.Bound, g.BoundSeq = boundFromEntry(r.GetBound()), seq
 	return Effect{Kind: Restated, Plan: plan, Holder: writer, Tokens: change}
 }
 
@@ -95,14 +95,15 @@
 		w.waitUntil = now.Add(carryGrace)
 		return false
 	}
-	knows := w.ready
+	knows := w.atEnd
 	old := w.ledger
-	w.ready, w.ledger = false, NewLedger(old.rules)
+	w.ready, w.atEnd, w.ledger = false, false, NewLedger(old.rules)
 	w.outbox.Clear()
 	w.queuedEra = era
 	w.restateSeq = w.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Era{Era: &kcrentry.Era{Number: era}}})
 	if knows {
 		w.waitUntil = 0
+		w.applyQueued(old, previous)
 		for _, p := range old.Plans() {
 			ps := w.planState(p)
 			ps.previousUsed = max(ps.previousUsed, old.Account(p).Used())
@@ -114,6 +115,21 @@
 	return true
 }
 
+// applyQueued applies to a ledger what the wallet has queued for its era and the ledger does not
+// show.
+func (w *Wallet) applyQueued(old *Ledger, era uint64) {
+	old.beginEra(era)
+	for _, p := range sortedKeys(w.planStates) {
+		ps := w.planStates[p]
+		if ps.restating {
+			old.restate(w.self, 0, &kcrentry.Restate{Era: era, Plan: string(p), Amount: int64(ps.previousGrant), Spent: int64(ps.drawn())})
+		}
+		if ps.previousUsed > 0 {
+			old.carry(&kcrentry.Carry{Era: era, Plan: string(p), Used: int64(ps.previousUsed)})
+		}
+	}
+}
+
 // restatePlan queues what the wallet knows of a plan from an earlier era. Returns that were
 // not confirmed count as made, since others may have claimed their tokens.
 func (w *Wallet) restatePlan(now kcrclock.Time, p kcrid.Plan, ps *walletPlanState, old *Ledger) {
@@ -122,7 +138,6 @@
 	}
 	ps.sentLimitVersion, ps.claimSeq, ps.raiseSeq, ps.returning, ps.carrySeq, ps.unmet = 0, 0, 0, 0, 0, false
 	clear(ps.returnsBySeq)
-	ps.sentBounds = nil
 	if ps.hasClaimed {
 		ps.restating = true
 		bound := w.newBound(now, p, ps, 0)
@@ -151,9 +166,9 @@
 	return w.ledger.era >= w.era && w.restateSeq == 0
 }
 
-// confirmRestated handles a record of the wallet that was read back from the log.
-func (w *Wallet) confirmRestated(seq uint64) {
-	if w.restateSeq == 0 || seq < w.restateSeq {
+// confirmRestated handles that the ledger shows the wallet's records up to applied.
+func (w *Wallet) confirmRestated(applied uint64) {
+	if w.restateSeq == 0 || applied < w.restateSeq {
 		return
 	}
 	w.restateSeq = 0
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -33,7 +33,8 @@
 	ledger       *Ledger
 	outbox       *kcrlog.Outbox
 	startedAt    kcrclock.Time // start of the process, on the machine's clock
-	ready        bool          // the ledger has reached the end of the stream
+	atEnd        bool          // the ledger has reached the end of the stream
+	ready        bool          // atEnd, and the ledger shows the era of the log
 	retired      bool          // Retire was called: no more reservations
 	reportedAt   kcrclock.Time // when Tick last reported the spending
 	planStates   map[kcrid.Plan]*walletPlanState
@@ -132,6 +133,9 @@
 	AllowedAfter func(Bound, kcrclock.Duration) kcrid.Tokens
 	// SameBoot reports whether a bound was made during this boot of the machine.
 	SameBoot func(b BootClock, bound Bound) bool
+	// ShowsBound reports whether the bound of the record with sequence sent is the one that the
+	// ledger shows, of the record with sequence shown.
+	ShowsBound func(sent, shown uint64) bool
 }
 
 // DefaultWalletRules returns the production rules.
@@ -141,6 +145,7 @@
 		WithinBounds: func(maxDrawn, bound kcrid.Tokens) bool { return maxDrawn <= bound },
 		AllowedAfter: Bound.AllowedAfter,
 		SameBoot:     BootClock.sameBoot,
+		ShowsBound:   func(sent, shown uint64) bool { return sent == shown },
 	}
 }
 
@@ -170,6 +175,7 @@
 func (w *Wallet) MarkReady() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.atEnd = true
 	if !w.ready && w.showsEra() {
 		w.ready = true
 		w.inheritGrants()
@@ -182,7 +188,7 @@
 func (w *Wallet) MarkNotReady() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ready = false
+	w.ready, w.atEnd = false, false
 }
 
 // HoldsNothing reports whether the wallet holds no grant and has no record to send.
@@ -211,11 +217,15 @@
 	return w.ledger.Snapshot()
 }
 
-// Restore loads a snapshot of the ledger if it is newer.
-func (w *Wallet) Restore(data []byte) (bool, error) {
+// Restore loads a snapshot of the ledger if it is newer. It stands for the records that it covers,
+// also for those of this wallet.
+func (w *Wallet) Restore(now kcrclock.Time, data []byte) (newer bool, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.ledger.Restore(data)
+	if newer, err = w.ledger.Restore(data); newer {
+		w.confirmApplied(now)
+	}
+	return newer, err
 }
 
 // Batch returns the records that are not confirmed to be on the stream; see
@@ -375,7 +385,7 @@
 	h := xxhash.New()
 	_, state, err := w.ledger.Snapshot()
 	_, _ = h.Write(state)
-	_, _ = fmt.Fprint(h, err, w.ready, w.retired, w.reportedAt, w.lastRecordAt, w.era, w.queuedEra, w.restateSeq, w.waitUntil)
+	_, _ = fmt.Fprint(h, err, w.ready, w.atEnd, w.retired, w.reportedAt, w.lastRecordAt, w.era, w.queuedEra, w.restateSeq, w.waitUntil)
 	records, last := w.outbox.Batch(math.MaxInt)
 	for _, r := range records {
 		_, _ = h.Write(r)
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -171,7 +171,8 @@
 			kcrbudget.LogEffect(c.Logger, self, w.Apply(c.Clock.Now(), off, e), off)
 			home.changed.Broadcast()
 		},
-		Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch,
+		Offset: w.At, Snapshot: w.Snapshot, Batch: w.Batch,
+		Restore:  func(state []byte) (bool, error) { return w.Restore(c.Clock.Now(), state) },
 		BeginEra: func(era uint64) bool { return w.BeginEra(c.Clock.Now(), era) },
 		MarkReady: func() {
 			w.MarkReady()
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -147,7 +147,8 @@
 				kcrbudget.LogEffect(n.logger, c.Self, w.Apply(n.clock.Now(), off, e), off)
 				n.escrowChanged.Broadcast()
 			},
-			Offset: w.At, Restore: w.Restore, Snapshot: w.Snapshot, Batch: w.Batch, MarkReady: w.MarkReady,
+			Offset: w.At, Snapshot: w.Snapshot, Batch: w.Batch, MarkReady: w.MarkReady,
+			Restore:          func(state []byte) (bool, error) { return w.Restore(n.clock.Now(), state) },
 			BeginEra:         func(era uint64) bool { return w.BeginEra(n.clock.Now(), era) },
 			IsSnapshotWriter: func() bool { return w.IsSnapshotWriter(n.clock.Now()) },
 			ReadDelay:        n.budgetReadPause,
