Cold engines: a ceiling for all routers, by permits of the issuer beside them

Weighed: parts by the number of routers; an owner's share while the issuer is away; permits before the connection is open; polling; permits for warm engines (docs/design/pace.md).

Change: a cold engine has a rate limit, the least of that and of one that it names. Permits are asked for once the connection is open, expire after 200 ms, and are issued at the full rate at once by the process beside the engine, its sole issuer. A router counts an engine as cold by its entry, a response, an unknown start, or a new connection after a failure, unless an old connection is heard since. Entries that say cold are applied and relayed. Settings overshoot and margin.

--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -27,7 +27,7 @@
 	Version  string            // of its software, "" if unknown; versions have no order
 	Slots    int               // requests that it runs at once
 	Draining bool              // finishes its requests and takes no new ones
-	Cold     kcrclock.Duration // how long it is still slow after its start
+	Cold     kcrclock.Duration // how long it is still cold, as of its entry
 	Born     int64             // start of the process, greater after a restart; 0 if unknown
 	Sequence int64             // number of changes since the start, which orders entries
 }
@@ -135,8 +135,8 @@
 	return now.Sub(f.lastContact)
 }
 
-// ApplyEntry applies an entry, and reports whether it changed anything other than the
-// sequence number and the remaining cold time. For a removed upstream, entries of
+// ApplyEntry applies an entry, and reports whether it says that the upstream is cold, or changed
+// anything other than the sequence number. For a removed upstream, entries of
 // an earlier start are ignored, and those of the same start that are draining or not newer.
 func (f *Fleet) ApplyEntry(now kcrclock.Time, m Member) (changed bool) {
 	f.mu.Lock()
@@ -162,12 +162,15 @@
 	s.entryMissing = false
 	s.member = m
 	if previous.relayed() == m.relayed() {
-		return changed
+		return changed || m.staysCold(previous)
 	}
 	f.digest ^= previous.digest() ^ m.digest()
 	return true
 }
 
+// staysCold reports whether a newer entry says again that the upstream is cold.
+func (m Member) staysCold(previous Member) bool { return m.Cold > 0 && m.Sequence > previous.Sequence }
+
 // Remove records that an entry was deleted, and reports whether its upstream was
 // removed. During the grace period, only an upstream that is draining is.
 func (f *Fleet) Remove(now kcrclock.Time, id kcrid.VM) (removed bool) {
--- a/kernel/kcrfleet/fleet_test.go
+++ b/kernel/kcrfleet/fleet_test.go
@@ -124,3 +124,25 @@
 		t.Fatal("an entry that was written since: expected the engine to be usable")
 	}
 }
+
+// Guards against routers that do not learn that an engine has become cold, or stays it, from the
+// store or from a relay.
+func TestColdEntriesAreChanges(t *testing.T) {
+	t.Parallel()
+	f := kcrfleet.New(grace)
+	var told kcrfleet.RelayLog
+	told.Messages(f)
+	for i, tt := range []struct {
+		cold          kcrclock.Duration
+		changed, told bool
+	}{{0, true, true}, {0, false, false}, {3000, true, true}, {1800, true, false}, {0, true, true}, {0, false, false}} {
+		m := member("a", 1, int64(i+1), false)
+		m.Cold = tt.cold
+		if changed := f.ApplyEntry(0, m); changed != tt.changed {
+			t.Errorf("entry %d, cold for %v: expected changed %v, got %v", i, tt.cold, tt.changed, changed)
+		}
+		if messages := told.Messages(f); len(messages[0].Members) > 0 != tt.told {
+			t.Errorf("entry %d, cold for %v: expected told %v, got %v", i, tt.cold, tt.told, messages)
+		}
+	}
+}
--- a/kernel/kcrfleet/relay.go
+++ b/kernel/kcrfleet/relay.go
@@ -51,9 +51,10 @@
 	return h.Sum64()
 }
 
-// relayed returns the member without what each new entry changes.
+// relayed returns the member without what each new entry changes: of the time for which it is
+// cold, only whether it is.
 func (m Member) relayed() Member {
-	m.Sequence, m.Cold = 0, 0
+	m.Sequence, m.Cold = 0, min(m.Cold, 1)
 	return m
 }
 
--- a/kernel/kcrpermit/issuer_test.go
+++ b/kernel/kcrpermit/issuer_test.go
@@ -41,7 +41,7 @@
 			var issued []kcrclock.Time
 			const length = 60 * kcrclock.Second
 			for now := kcrclock.Time(0); now < kcrclock.Time(length); now += kcrclock.Time(1 + rng.IntN(8)) {
-				if granted, _ := issuer.Take(now, "u/1", rate); granted {
+				if granted, _ := issuer.Take(now, "u/1", rate, false); granted {
 					issued = append(issued, now)
 				}
 			}
@@ -66,12 +66,12 @@
 		const change = kcrclock.Time(20 * kcrclock.Second)
 		for now := kcrclock.Time(0); now < 2*change; now++ {
 			if now < change.Add(overlap) {
-				if granted, _ := first.Take(now, "u/1", rate); granted {
+				if granted, _ := first.Take(now, "u/1", rate, false); granted {
 					issued = append(issued, now)
 				}
 			}
 			if now >= change {
-				if granted, _ := second.Take(now, "u/1", rate); granted {
+				if granted, _ := second.Take(now, "u/1", rate, false); granted {
 					issued = append(issued, now)
 				}
 			}
@@ -89,22 +89,22 @@
 	issuer := kcrpermit.New()
 	now := kcrclock.Time(10 * kcrclock.Second)
 	for range 3 {
-		issuer.Take(now, "u/1", 2)
+		issuer.Take(now, "u/1", 2, false)
 	}
-	granted, wait := issuer.Take(now, "u/1", 2)
+	granted, wait := issuer.Take(now, "u/1", 2, false)
 	if granted || wait <= 0 {
 		t.Fatalf("expected a wait, got granted %v and %v", granted, wait)
 	}
-	if granted, _ := issuer.Take(now.Add(wait-1), "u/1", 2); granted {
+	if granted, _ := issuer.Take(now.Add(wait-1), "u/1", 2, false); granted {
 		t.Error("before the wait has passed: expected no permit")
 	}
-	if granted, _ := issuer.Take(now.Add(wait), "u/1", 2); !granted {
+	if granted, _ := issuer.Take(now.Add(wait), "u/1", 2, false); !granted {
 		t.Error("after the wait: expected a permit")
 	}
 	for i := range 10_000 { // more upstreams than are remembered
-		issuer.Take(now.Add(wait), kcrid.Incarnation(fmt.Sprint("other/", i)), 2)
+		issuer.Take(now.Add(wait), kcrid.Incarnation(fmt.Sprint("other/", i)), 2, false)
 	}
-	if granted, _ := issuer.Take(now.Add(wait), "u/1", 2); granted {
+	if granted, _ := issuer.Take(now.Add(wait), "u/1", 2, false); granted {
 		t.Error("expected permits taken for other upstreams not to matter")
 	}
 }
--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -72,7 +72,10 @@
 	failsAt      kcrclock.Time
 	latencyRatio float64             // average of measured by expected latency, 0 before the first sample
 	latencyAt    kcrclock.Time       // of the last sample
-	warmAt       kcrclock.Time       // end of the slow time after a start
+	warmAt       kcrclock.Time       // end of the slow time after a start, as its entry says
+	coldUntil    kcrclock.Time       // end of the time for which it counts as cold
+	lost         bool                // may have ended, and counts as cold once it is reached again
+	lostAt       kcrclock.Time       // when that was seen last
 	cachedParts  map[uint64]struct{} // IDs of the parts that it is assumed to have cached
 	rateLimit    RateLimit           // as it named it last
 	heardAt      atomic.Int64        // when it last sent something, as a kcrclock.Time; 0 for never
@@ -178,16 +181,19 @@
 	case ErrorResponse:
 		u.recordResult(now, 1)
 	case ConnectionLost:
+		u.loses(now)
 		u.recordResult(now, 1)
 	case Refused:
 		u.avoid(now, refusalCooldown)
 	case Misdirected:
 		u.avoid(now, staleAddressCooldown)
 	case Unreachable:
+		u.loses(now)
 		u.backoff = min(max(minBackoff, 2*u.backoff), maxBackoff)
 		u.avoid(now, u.backoff)
 		clear(u.cachedParts)
 	case Stalled:
+		u.loses(now)
 		u.recordResult(now, 1)
 		u.avoid(now, stallCooldown)
 	case CallerLeft:
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -7,15 +7,17 @@
 	"kingcuprun.example/kernel/kcrid"
 )
 
-// This file defines the rate limits that upstreams name in their responses. A limit is for all
-// routers together, and holds until a later response of the upstream names another or none.
+// This file defines the rate limits of upstreams: those that they name in their responses, and
+// the one that a cold upstream has. A limit is for all routers together. A named one holds until
+// a later response of the upstream names another or none.
 // Invariants: a request that was withheld changes none of the statistics; an upstream with a
-// limit is nobody's preferred one, so that the prompts that would go there find another.
+// limit is nobody's preferred one, so that the prompts that would go there find another; a cold one stays preferred.
 
 // RateLimit is the number of requests per second that an upstream takes.
 type RateLimit struct {
 	Named     bool    // false if there is no limit
 	PerSecond float64 // not negative
+	Cold      bool    // the upstream is cold: no router may pass the limit, also if it is cut off
 }
 
 // RateLimitNamed records the limit that a response of the upstream names, and reports whether
@@ -32,7 +34,7 @@
 func (c *Choice) Permitted() {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	c.state.recordCached(c.promptParts)
+	c.record()
 }
 
 // Withheld reports that the request was not sent, since the limit of the upstream leaves no
@@ -50,13 +52,13 @@
 
 // isWithheld reports whether the limit of the upstream leaves no room at a time.
 func (u *upstream) isWithheld(now kcrclock.Time) bool {
-	return u.rateLimit.Named && now < u.withheldUntil
+	return now < u.withheldUntil && u.limit(now).Named
 }
 
 // HasLimited reports whether an upstream of a service has a rate limit.
-func (t *Table) HasLimited(name kcrid.Service) bool {
+func (t *Table) HasLimited(now kcrclock.Time, name kcrid.Service) bool {
 	s := t.getOrCreateService(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.rateLimit.Named })
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.limit(now).Named })
 }
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -40,7 +40,9 @@
 	Version         string            // of its software, "" if unknown
 	Slots           int               // requests that it runs at once
 	StartedAt       int64             // start of the process; a new value means a restart
-	WarmupRemaining kcrclock.Duration // how long it is still slow after its start
+	WarmupRemaining kcrclock.Duration // how long it is still cold, as of its entry
+	EntrySequence   int64             // of that entry, greater in a later one
+	Cold            ColdLimit         // of its service
 }
 
 // Request describes a request to be placed.
@@ -51,7 +53,7 @@
 	TransferBytes int          // size of the request and its response
 	Version       string       // upstreams of other versions are not chosen, "" for any
 	Excluded      []kcrid.VM   // upstreams of earlier attempts, which are not chosen again
-	Unlimited     bool         // upstreams with a rate limit are not chosen
+	Unlimited     bool         // upstreams that may need a permit are not chosen
 }
 
 // service holds the upstreams of one service.
@@ -62,6 +64,7 @@
 	leaving      map[kcrid.VM]int64 // starts of upstreams that have said that they leave
 	latencyRatio float64            // average over all upstreams
 	rotation     int                // offset at which the next scan of the upstreams begins
+	listed       bool               // a list with upstreams was applied
 }
 
 // Table is one router's view of all upstreams. It is safe for concurrent use.
@@ -124,36 +127,32 @@
 	s.upstreams = s.upstreams[:0]
 	for _, u := range upstreams {
 		state := previous[u.ID]
-		if state == nil || state.StartedAt != u.StartedAt || state.Addr != u.Addr {
+		started := state == nil || state.StartedAt != u.StartedAt || state.Addr != u.Addr
+		if started {
 			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), cachedParts: map[uint64]struct{}{}}
 		}
-		if u.WarmupRemaining > 0 && u.WarmupRemaining != state.WarmupRemaining {
-			state.warmAt = now.Add(u.WarmupRemaining)
-		}
-		state.Upstream = u
+		state.learn(now, u, started && s.listed)
 		s.byID[u.ID] = state
 		s.upstreams = append(s.upstreams, state)
 	}
+	s.listed = s.listed || len(upstreams) > 0
 	s.assignLongPool()
 }
 
-// Choice is the upstream chosen for one attempt. Finish must be called exactly
-// once.
+// Choice is the upstream chosen for one attempt. Connected must be called before the request is
+// sent, and Finish exactly once.
 type Choice struct {
 	Upstream
 	UncachedTokens  kcrid.Tokens      // prompt tokens that are expected not to be cached
 	ExpectedLatency kcrclock.Duration // until the first event of the response
 
-	// RateLimit is the limit that the upstream has named. If there is one, Permitted must be
-	// called before the request is sent, or else Withheld.
-	RateLimit RateLimit
-
 	service     *service
 	state       *upstream
 	promptParts []PromptPart
 	pending     kcrid.Tokens // tokens that this request still adds to the backlog
 	started     kcrclock.Time
 	trial       bool // the upstream is on trial after a pause
+	unrecorded  bool // the parts are not noted as cached, since the request may not be sent
 }
 
 // Choose picks the upstream with the lowest cost and counts the request as in
@@ -185,20 +184,21 @@
 	}
 	best.inflight++
 	best.backlog += bestUncached
-	if !best.rateLimit.Named {
+	unrecorded := best.mayNeedPermit(now)
+	if !unrecorded {
 		best.recordCached(req.PromptParts)
 	}
 	return &Choice{
-		Upstream: best.Upstream, UncachedTokens: bestUncached, ExpectedLatency: expectedLatency(best, bestUncached), RateLimit: best.rateLimit,
+		Upstream: best.Upstream, UncachedTokens: bestUncached, ExpectedLatency: expectedLatency(best, bestUncached),
 		service: s, state: best, promptParts: req.PromptParts, pending: bestUncached, started: now,
-		trial: best.beginTrial(),
+		trial: best.beginTrial(), unrecorded: unrecorded,
 	}
 }
 
 // takes reports whether an upstream may get a request now.
 func (s *service) takes(now kcrclock.Time, u *upstream, req *Request) bool {
 	switch {
-	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named:
+	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.mayNeedPermit(now):
 		return false
 	case u.isWithheld(now), now < u.pausedUntil, u.triesEnough(now), s.leaves(u.ID, u.StartedAt):
 		return false
--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -63,6 +63,9 @@
 	Slots          int          // requests that an upstream runs at once
 	KVCapacity     kcrid.Tokens // capacity of an engine's KV cache
 	MaxEventTokens kcrid.Tokens // most tokens in one event of a stream
+
+	ColdStart     kcrclock.Duration // how long an upstream is cold after it has started
+	ColdPerSecond float64           // requests per second that a cold upstream bears, 0 if that has no limit
 }
 
 // Team is a customer.
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -37,6 +37,8 @@
 	silence      *time.Timer          // fires if no response begins for long, nil until the request is sent
 	unreachable  bool                 // the upstream was given up since it accepts no connection
 	ended        bool                 // end was called
+
+	permitExpires kcrclock.Time // when the permit may no longer be used, 0 without one
 }
 
 // Limits of attempts.
@@ -111,13 +113,7 @@
 	if reason = x.banReason(); reason != "" {
 		return nil, stateNotRun, reason
 	}
-	choice := x.chooseUpstream()
-	if choice == nil {
-		return nil, stateNotRun, x.noUpstreamReason()
-	}
-	a = &attempt{x: x, choice: choice, suspects: x.gateway.config.PartSuspects.Sent(x.usage.sharedParts)}
-	if reason = a.connect(); reason != "" {
-		a.end(kcrplacement.Unreachable, reason)
+	if a, reason = x.connectToUpstream(); reason != "" {
 		return a, stateNotRun, reason
 	}
 	if !x.setActiveConn(a.conn) {
@@ -125,38 +121,19 @@
 		a.end(kcrplacement.CallerLeft, reason)
 		return a, stateNotRun, reason
 	}
+	request := x.buildRequest(a.choice, lastEventID)
+	if a.permitExpires > 0 && x.gateway.clock.Now() > a.permitExpires {
+		a.end(kcrplacement.Refused, reasonPermitExpired)
+		return a, stateNotRun, reasonPermitExpired
+	}
 	a.watchSilence()
-	if state, reason = a.writeRequest(x.buildRequest(choice, lastEventID)); state != stateOK {
+	if state, reason = a.writeRequest(request); state != stateOK {
 		a.end(kcrplacement.ConnectionLost, reason)
 		return a, state, reason
 	}
 	return a, stateOK, ""
 }
 
-// maxPermitRequests is how many permits are asked for before upstreams with a rate limit are
-// left out.
-const maxPermitRequests = 3
-
-// chooseUpstream chooses an upstream and takes a permit if it has a rate limit. It returns nil
-// if no upstream is left.
-func (x *exchange) chooseUpstream() *kcrplacement.Choice {
-	g, req := x.gateway, x.placementRequest()
-	for asked := 0; ; asked++ {
-		req.Unlimited = asked == maxPermitRequests
-		choice := g.table.Choose(g.clock.Now(), req)
-		if choice == nil || !choice.RateLimit.Named {
-			return choice
-		}
-		granted, wait := g.config.TakePermit(incarnationOf(choice), choice.RateLimit.PerSecond)
-		g.metrics.permits.WithLabelValues(string(x.service), strconv.FormatBool(granted)).Inc()
-		if granted {
-			choice.Permitted()
-			return choice
-		}
-		choice.Withheld(g.clock.Now().Add(wait))
-	}
-}
-
 // reasonLimited is the reason of a request for which the rate limits of the upstreams leave no
 // room.
 const reasonLimited = "the rate limits of the upstreams leave no room"
@@ -175,7 +152,7 @@
 	if _, paused := x.gateway.table.PauseEnd(x.gateway.clock.Now(), x.service); paused {
 		return reasonPaused
 	}
-	if x.gateway.table.HasLimited(x.service) {
+	if x.gateway.table.HasLimited(x.gateway.clock.Now(), x.service) {
 		return reasonLimited
 	}
 	return "no upstream"
@@ -186,26 +163,6 @@
 	return kcrid.IncarnationOf(choice.ID, strconv.FormatInt(choice.StartedAt, 10))
 }
 
-// connect takes a pooled connection or opens a new one. It returns the reason of
-// a failure, or "".
-func (a *attempt) connect() (reason string) {
-	maxIdleFraction := reuseFraction
-	if !a.x.route.Rerunnable() {
-		maxIdleFraction = onceReuseFraction
-	}
-	g := a.x.gateway
-	if a.conn = g.pool.take(g.clock.Now(), a.choice.ID, a.choice.Addr, maxIdleFraction); a.conn != nil {
-		return ""
-	}
-	conn, err := g.pool.dial(a.choice.ID, a.choice.Addr)
-	if err != nil {
-		return "dial: " + rootCauseText(err)
-	}
-	g.metrics.dials.Inc()
-	a.conn = conn
-	return ""
-}
-
 // writeRequest writes the request. A long one is written in a separate goroutine,
 // because an upstream may respond before it has read all of it.
 func (a *attempt) writeRequest(request []byte) (state attemptState, reason string) {
@@ -277,26 +234,6 @@
 	return stateMayHaveRun, "answers to other requests"
 }
 
-// recordRateLimit records the limit that the response names, or that it names none. A value
-// that is no rate is ignored. Only a success ends a limit, since an upstream may refuse or fail
-// a request without naming it.
-func (a *attempt) recordRateLimit() {
-	limit, value := kcrplacement.RateLimit{}, a.head.Get(a.x.gateway.headerNames.RateLimit)
-	if value == "" && a.head.Status >= 300 {
-		return
-	}
-	if value != "" {
-		rate, err := strconv.ParseFloat(value, 64)
-		if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
-			return
-		}
-		limit = kcrplacement.RateLimit{Named: true, PerSecond: rate}
-	}
-	if a.choice.RateLimitNamed(limit) {
-		a.x.gateway.logger.Info("rate limit of upstream", "id", string(a.choice.ID), "named", limit.Named, "rate", limit.PerSecond, "req", a.x.id)
-	}
-}
-
 // recordNotices records that the upstream leaves, or wants no requests for a time, if the
 // response says so.
 func (a *attempt) recordNotices() {
@@ -305,6 +242,7 @@
 		g.logger.Info("upstream leaves", "id", string(a.choice.ID), "born", a.choice.StartedAt, "req", a.x.id)
 		g.config.OnLeaving(incarnationOf(a.choice))
 	}
+	a.recordCold()
 	value := a.head.Get(names.RetryAfter)
 	if value == "" || a.head.Status != statusUnavailable {
 		return
--- a/router/kcrgateway/crash.go
+++ b/router/kcrgateway/crash.go
@@ -124,6 +124,7 @@
 
 // countCrash records that a run crashed its upstream.
 func (g *Gateway) countCrash(run kcrcrash.LostRun) {
+	g.table.RecordLost(g.clock.Now(), run.Upstream)
 	if crash := (kcrcrash.Crash{Content: run.Content, Upstream: run.Upstream}); g.config.Crashes.RecordCrash(crash) {
 		g.logger.Info("crash", "content", uint64(run.Content), "id", string(run.Upstream), "count", g.config.Crashes.CrashedUpstreams(run.Content),
 			"events", run.Events, "parts", run.Parts.String(), "after", int64(g.clock.Now().Sub(run.At)))
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -68,10 +68,9 @@
 	// RouterCount returns the number of routers that share the retry budget, 0 if it
 	// is unknown.
 	RouterCount func() int
-	// TakePermit takes a permit for one request to an upstream that has named a rate limit, in
-	// requests per second. If there is none, it returns the time until it is worth asking again.
-	// It may block for a moment.
-	TakePermit func(upstream kcrid.Incarnation, rate float64) (granted bool, wait kcrclock.Duration)
+	// TakePermit takes a permit for one request to an upstream with a rate limit. If there is
+	// none, it returns the time until it is worth asking again. It may block for a moment.
+	TakePermit func(upstream kcrid.Incarnation, limit kcrplacement.RateLimit) (granted bool, wait kcrclock.Duration)
 	// NoteOrigin is called with the request that brought the first event of a stream, and the
 	// version of the upstream that began it.
 	NoteOrigin func(request, version string)
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -162,7 +162,7 @@
 	budget  *fakeBudget
 	table   *kcrplacement.Table
 
-	takePermit atomic.Value // of type func(kcrid.Incarnation, float64) (bool, kcrclock.Duration)
+	takePermit atomic.Value // of type func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration)
 }
 
 const host = "h.example"
@@ -207,9 +207,9 @@
 		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: kcrcrash.New(maxCrashes),
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, StoreIsLost: gw.budget.storeIsLost.Load},
 		Retries:     retries,
-		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, rate float64) (bool, kcrclock.Duration) {
+		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, limit kcrplacement.RateLimit) (bool, kcrclock.Duration) {
 			if take := gw.takePermit.Load(); take != nil {
-				return take.(func(kcrid.Incarnation, float64) (bool, kcrclock.Duration))(upstream, rate)
+				return take.(func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration))(upstream, limit)
 			}
 			return true, 0
 		},
--- a/router/kcrgateway/header_names.go
+++ b/router/kcrgateway/header_names.go
@@ -23,6 +23,7 @@
 	RetryAfter     string // seconds until the caller may retry; from an upstream that refuses a request, until it takes others
 	Leaving        string // 1 if the upstream is leaving
 	RateLimit      string // requests per second that the upstream takes from all routers together
+	Cold           string // milliseconds for which the upstream stays cold
 	Priority       string // scheduling priority at an engine, 0 is served first
 	// InternalFields holds further fields that only the system may set.
 	InternalFields []string
--- a/router/kcrgateway/limit_test.go
+++ b/router/kcrgateway/limit_test.go
@@ -44,10 +44,10 @@
 	gw.placeNearAndFar(near, far)
 	const wait = 100 * time.Millisecond // until another permit is asked for
 	var permits, asked atomic.Int64     // permits that are left, and how many were asked for
-	gw.takePermit.Store(func(upstream kcrid.Incarnation, perSecond float64) (bool, kcrclock.Duration) {
+	gw.takePermit.Store(func(upstream kcrid.Incarnation, limit kcrplacement.RateLimit) (bool, kcrclock.Duration) {
 		asked.Add(1)
-		if upstream != "near/0" || perSecond != 2.5 {
-			t.Errorf("expected a permit for near/0 at 2.5, got %s at %v", upstream, perSecond)
+		if upstream != "near/0" || limit.PerSecond != 2.5 || limit.Cold {
+			t.Errorf("expected a permit for near/0 at 2.5, got %s and %v", upstream, limit)
 		}
 		return permits.Add(-1) >= 0, kcrclock.Duration(wait.Milliseconds())
 	})
@@ -88,7 +88,9 @@
 	rate.Store("0")
 	u := newLimitedUpstream(t, "u", &rate)
 	gw := newTestGateway(t, u)
-	gw.takePermit.Store(func(kcrid.Incarnation, float64) (bool, kcrclock.Duration) { return false, 10 * kcrclock.Second })
+	gw.takePermit.Store(func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration) {
+		return false, 10 * kcrclock.Second
+	})
 	if _, _, err := roundTrip(t, gw, "/once/1", ""); err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +104,9 @@
 		rate.Store(text)
 		u := newLimitedUpstream(t, "u", &rate)
 		gw := newTestGateway(t, u)
-		gw.takePermit.Store(func(kcrid.Incarnation, float64) (bool, kcrclock.Duration) { return false, 10 * kcrclock.Second })
+		gw.takePermit.Store(func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration) {
+			return false, 10 * kcrclock.Second
+		})
 		for i := range 2 {
 			if head, _, err := roundTrip(t, gw, "/once/"+strconv.Itoa(i), ""); err != nil || head.Status != 200 {
 				t.Errorf("limit %q: expected it to be ignored, got %v %v", text, head, err)
@@ -110,3 +114,38 @@
 		}
 	}
 }
+
+// Guards against requests that are sent without a permit to an upstream that may have started
+// again, or with a permit that has expired.
+func TestRequestsToColdUpstreamNeedPermits(t *testing.T) {
+	t.Parallel()
+	var none atomic.Value
+	none.Store("")
+	u := newLimitedUpstream(t, "u", &none)
+	gw := newTestGateway(t, u)
+	gw.table.Update(0, []kcrplacement.Upstream{{
+		ID: "u", Service: "s", Addr: u.listener.Addr().String(), Zone: "z", Version: "v1", Slots: 8,
+		Cold: kcrplacement.ColdLimit{PerSecond: 18, Start: 3000},
+	}})
+	var delay, asked atomic.Int64 // ms that a permit takes, and how many were asked for
+	gw.takePermit.Store(func(_ kcrid.Incarnation, limit kcrplacement.RateLimit) (bool, kcrclock.Duration) {
+		asked.Add(1)
+		if !limit.Cold || limit.PerSecond != 18 {
+			t.Errorf("expected a permit for a cold upstream, got %v", limit)
+		}
+		time.Sleep(time.Duration(delay.Load()) * time.Millisecond)
+		return true, 0
+	})
+	send := func(what string, wantStatus int, wantSent, wantAsked int64) {
+		t.Helper()
+		head, _, err := roundTrip(t, gw, "/once/1", "")
+		if err != nil || head.Status != wantStatus || u.requestCount.Load() != wantSent || asked.Load() != wantAsked {
+			t.Errorf("%s: expected status %d, %d requests and %d permits asked for, got %v %v, %d and %d",
+				what, wantStatus, wantSent, wantAsked, head, err, u.requestCount.Load(), asked.Load())
+		}
+	}
+	gw.table.RecordLost(kcrclock.Monotonic().Now(), "u/0")
+	send("reached again", 200, 1, 1)
+	delay.Store(300)
+	send("a permit that comes late", 503, 1, 2)
+}
--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -152,6 +152,18 @@
 	p.idle[key] = append(p.idle[key], c)
 }
 
+// putBack adds a connection that carried no request since it was taken or opened.
+func (p *pool) putBack(now kcrclock.Time, c *upstreamConn) {
+	if !c.reused {
+		c.idleAt = now
+	}
+	c.reused = false
+	key := poolKey(c.vm, c.addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[key] = append(p.idle[key], c)
+}
+
 // parseKeepAlive returns the duration of "timeout=N", in seconds, in a Keep-Alive
 // field.
 func parseKeepAlive(value string) (kcrclock.Duration, bool) {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -135,7 +135,7 @@
 
 // handlePermit answers a router that has a request for an upstream with a rate limit.
 func (h *Host) handlePermit(req *kcrwire.Permit) *kcrwire.Reply {
-	granted, wait := h.permits.Take(h.config.Clock.Now(), kcrid.Incarnation(req.GetServer()), req.GetRate())
+	granted, wait := h.permits.Take(h.config.Clock.Now(), kcrid.Incarnation(req.GetServer()), req.GetRate(), req.GetSole())
 	return &kcrwire.Reply{Kind: &kcrwire.Reply_Permitted{Permitted: &kcrwire.Permitted{Granted: granted, After: int64(wait)}}}
 }
 
--- a/router/kcrnode/crashes.go
+++ b/router/kcrnode/crashes.go
@@ -56,6 +56,9 @@
 		n.logger.Info("content cleared by another router", "content", s.GetContent(), "by", e.GetWriter())
 		return
 	}
+	if n.peers.Ready() {
+		n.table.RecordLost(n.clock.Now(), crash.Upstream)
+	}
 	counted, mustClear := n.crashes.RecordReport(crash)
 	if counted {
 		n.noteCrash(crash.Upstream)
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -55,7 +55,8 @@
 	EscrowPolicy kcrbudget.Policy // how much escrow to hold while no home answers
 	Weights      kcrplacement.Weights
 	Retries      kcrgateway.RetryLimits
-	BucketCount  int // number of budget buckets, the same in all processes
+	BucketCount  int        // number of budget buckets, the same in all processes
+	ColdBounds   ColdBounds // for services that name a rate for cold upstreams
 	// DroppedLogLines returns how many lines the logger has dropped.
 	DroppedLogLines func() int64
 	// EntryTimeout is the time in which the store removes the entry of an upstream that has
@@ -91,6 +92,7 @@
 	loans             prometheus.Counter // loans started
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
+	coldBounds        ColdBounds
 	pool              *kcrlink.Pool
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
@@ -142,6 +144,7 @@
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
+		coldBounds:    c.ColdBounds,
 		parseRules:    c.ParseRules,
 	}
 	n.configUnavailable.Store(true)
@@ -267,7 +270,7 @@
 func (n *Node) ApplyEntry(m kcrfleet.Member) {
 	if n.fleet.ApplyEntry(n.clock.Now(), m) {
 		n.logger.Info("upstream entry changed", "id", string(m.ID), "service", string(m.Service), "addr", m.Addr, "zone", string(m.Zone), "version", m.Version,
-			"draining", m.Draining, "born", m.Born, "seq", m.Sequence)
+			"draining", m.Draining, "born", m.Born, "cold", int64(m.Cold), "seq", m.Sequence)
 		n.entriesChanged.Store(true)
 	}
 }
@@ -328,9 +331,13 @@
 			}
 			continue
 		}
-		upstreams = append(upstreams, kcrplacement.Upstream{
-			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold,
-		})
+		upstream := kcrplacement.Upstream{
+			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold, EntrySequence: m.Sequence,
+		}
+		if rules != nil {
+			upstream.Cold = n.coldBounds.limit(rules.Services[m.Service])
+		}
+		upstreams = append(upstreams, upstream)
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
 			beside[m.ID] = m.Home
