--- a/kernel/kcrplacement/emptied_test.go
+++ b/kernel/kcrplacement/emptied_test.go
@@ -48,7 +48,7 @@
 		t.Errorf("expected two routers to agree on 95 of 100 sessions, got %d", agreed)
 	}
 	a.Update(50, upstreams(engines))
-	if !a.HasLimited("llm") {
+	if !a.HasLimited(60, "llm") {
 		t.Error("expected the limit that an upstream has named to hold on its return")
 	}
 	returned := 0
--- a/kernel/kcrplacement/place.go
+++ b/kernel/kcrplacement/place.go
@@ -15,7 +15,7 @@
 // placeAt returns when the upstream may take a request, not before now.
 func (u *upstream) placeAt(now kcrclock.Time) kcrclock.Time {
 	at := max(now, u.fullUntil, u.pausedUntil)
-	if u.rateLimit.Named {
+	if u.limit(now).Named {
 		at = max(at, u.withheldUntil)
 	}
 	return at
--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -8,7 +8,6 @@
 	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
-	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/link/kcrdaemon"
 )
 
@@ -109,20 +108,20 @@
 	kcrdaemon.RunEvery(ctx, admissionInterval, g.admitWaiting)
 }
 
-// findUpstream chooses an upstream, and waits for a place while none takes the request. It
-// returns nil if none does in time, or the caller leaves.
-func (x *exchange) findUpstream() (choice *kcrplacement.Choice) {
-	a := x.gateway.admission(x.service)
-	if a.queue.Waiting() == 0 || !x.mayWait() {
-		if choice = x.chooseUpstream(); choice != nil || !x.mayWait() {
-			return choice
+// findUpstream connects to an upstream, and waits for a place while none takes the request. The
+// attempt is nil if none does in time, or the caller leaves.
+func (x *exchange) findUpstream() (a *attempt, reason string) {
+	waiting := x.gateway.admission(x.service)
+	if waiting.queue.Waiting() == 0 || !x.mayWait() {
+		if a, reason = x.connectToUpstream(); a != nil || !x.mayWait() {
+			return a, reason
 		}
 	}
 	x.gateway.metrics.waits.WithLabelValues(string(x.service)).Inc()
 	began := x.gateway.clock.Now()
-	choice = x.waitForUpstream(a)
+	a, reason = x.waitForUpstream(waiting)
 	x.placeWait += x.gateway.clock.Now().Sub(began)
-	return choice
+	return a, reason
 }
 
 // mayWait reports whether a wait may bring the request to an upstream: one is expected to have a
@@ -159,30 +158,33 @@
 
 // waitForUpstream waits until an upstream takes the request. If none does in time, or if its
 // time would not suffice, it sets when the caller is to come back.
-func (x *exchange) waitForUpstream(a *admission) *kcrplacement.Choice {
+func (x *exchange) waitForUpstream(waiting *admission) (a *attempt, reason string) {
 	g, req := x.gateway, x.admissionRequest()
 	for ; x.mayWait(); req = x.admissionRequest() {
-		ticket, turn, entered, retryAfter := a.enter(g.clock.Now(), req)
+		ticket, turn, entered, retryAfter := waiting.enter(g.clock.Now(), req)
 		if !entered {
 			x.returnAfter = retryAfter
-			return nil
+			return nil, x.noUpstreamReason()
 		}
 		if !x.awaitTurn(turn, req.Latest) {
-			a.leave(ticket)
+			waiting.leave(ticket)
 			break
 		}
 		if x.interrupted() {
-			a.next(g.clock.Now())
-			return nil
+			waiting.next(g.clock.Now())
+			return nil, x.interruptReason()
 		}
-		if choice := x.chooseUpstream(); choice != nil {
-			a.queue.Placed(g.clock.Now(), req)
-			a.next(g.clock.Now())
-			return choice
+		if a, reason = x.connectToUpstream(); a != nil {
+			waiting.queue.Placed(g.clock.Now(), req)
+			waiting.next(g.clock.Now())
+			return a, reason
 		}
 	}
-	x.returnAfter = a.queue.Refuse(g.clock.Now())
-	return nil
+	if x.interrupted() {
+		return nil, x.interruptReason()
+	}
+	x.returnAfter = waiting.queue.Refuse(g.clock.Now())
+	return nil, x.noUpstreamReason()
 }
 
 // awaitTurn waits for the turn of the request, and reports whether it came before its time was
