Admission: teams and ranks start at the turn that was last

Cause: a rank or team that began to wait while nobody else waited kept its old virtual time. One that had got places alone then waited until the others had caught up on all of them, so a lower rank went before an urgent one. And a team was forgotten at its turn if it had never got a place, or none for 8 s in which others waited: one with a single request at a time began anew each time, and took the places of the teams after it in the alphabet.

Weighed: the highest virtual time of all as the start (a rank of low weight is up to 13 places ahead, and newcomers would wait for that).

Change: the queue and each rank keep the virtual time of the last turn, at which whoever begins to wait starts; a team is remembered from its last entry or turn on.

Result: TestPlacesGotAloneAreNotMadeUpFor: of 20 turns the one that had been alone got 0 before, now 9 at least. TestTeamWithOneRequestAtATimeGetsItsShare: of 30 turns the teams a, b, c got 1, 29 and 0 before, now 9 at least each. The other tests of the package as before.

--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -48,7 +48,7 @@
 const (
 	// rankWeight is the ratio of the places of a rank to those of the next one that waits.
 	rankWeight = 3.0
-	// teamRetention is how long a team is remembered that gets no place, while others wait.
+	// teamRetention is how long a team is remembered that does not wait, while others do.
 	teamRetention = 8 * kcrclock.Second
 )
 
@@ -65,13 +65,15 @@
 	pass    float64  // virtual time: places taken by the share of the team
 	waiting []waiter // by Latest, then by arrival
 	places  meter
+	usedAt  kcrclock.Time // when it last entered or had its turn, in the time of Queue.busy
 }
 
 // rank holds the teams of one rank, those too that have none waiting.
 type rank struct {
-	value int
-	pass  float64 // virtual time: places taken by the weight of the rank
-	teams []*team // by name
+	value   int
+	pass    float64 // virtual time: places taken by the weight of the rank
+	teams   []*team // by name
+	current float64 // virtual time of the team whose turn was last
 }
 
 // Queue holds the waiting requests of one service at one router. It is safe for concurrent use.
@@ -86,6 +88,7 @@
 	advancedAt kcrclock.Time // when busy was last advanced
 	heldUntil  kcrclock.Time // no place is expected before this time
 	places     meter
+	current    float64       // virtual time of the rank whose turn was last
 	nextReturn kcrclock.Time // when the last refused request is due to come back
 }
 
@@ -206,36 +209,37 @@
 }
 
 // insert adds a waiter to its team and rank. A rank or team that begins to wait starts at the
-// virtual time of the one whose turn it is, so that it neither catches up on places that it did
-// not need nor waits for them to be used up.
+// virtual time of the one whose turn was last, also if none waits any more: it neither catches up
+// on places that it did not need, nor do the others catch up on those that it got while alone.
 func (q *Queue) insert(w waiter) {
 	i, found := q.rankAt(w.Rank)
 	if !found {
 		q.ranks = slices.Insert(q.ranks, i, &rank{value: w.Rank})
 	}
 	r := q.ranks[i]
-	if next := q.nextRank(); next != nil && !r.waits() {
-		r.pass = max(r.pass, next.pass)
+	if !r.waits() {
+		r.pass = max(r.pass, q.current)
 	}
-	r.insert(w)
+	r.insert(w).usedAt = q.busy
 	q.waiting++
 }
 
-// insert adds a waiter to its team.
-func (r *rank) insert(w waiter) {
+// insert adds a waiter to its team, and returns the team.
+func (r *rank) insert(w waiter) *team {
 	i, found := r.teamAt(w.Team)
 	if !found {
 		r.teams = slices.Insert(r.teams, i, &team{name: w.Team})
 	}
 	t := r.teams[i]
-	if next := r.nextTeam(); next != nil && len(t.waiting) == 0 {
-		t.pass = max(t.pass, next.pass)
+	if len(t.waiting) == 0 {
+		t.pass = max(t.pass, r.current)
 	}
 	t.share = shareOf(w.Request)
 	k, _ := slices.BinarySearchFunc(t.waiting, w, func(a, b waiter) int {
 		return cmp.Or(cmp.Compare(a.Latest, b.Latest), cmp.Compare(a.ticket, b.ticket))
 	})
 	t.waiting = slices.Insert(t.waiting, k, w)
+	return t
 }
 
 // shareOf returns the weight of the team of a request.
@@ -274,6 +278,7 @@
 func (q *Queue) take(r *rank) waiter {
 	t := r.nextTeam()
 	w := t.waiting[0]
+	q.current, r.current, t.usedAt = max(q.current, r.pass), max(r.current, t.pass), q.busy
 	r.pass += 1 / q.rankShare(r.value)
 	t.pass += 1 / t.share
 	t.waiting = t.waiting[1:]
@@ -316,11 +321,11 @@
 	return shareOf(req) / sum
 }
 
-// forgetIdle forgets the teams that have got no place for long.
+// forgetIdle forgets the teams that have neither waited nor had a turn for long.
 func (q *Queue) forgetIdle() {
 	for _, r := range q.ranks {
 		r.teams = slices.DeleteFunc(r.teams, func(t *team) bool {
-			return len(t.waiting) == 0 && q.busy.Sub(t.places.at) > teamRetention
+			return len(t.waiting) == 0 && q.busy.Sub(t.usedAt) > teamRetention
 		})
 	}
 }
--- a/kernel/kcradmission/queue_test.go
+++ b/kernel/kcradmission/queue_test.go
@@ -163,3 +163,71 @@
 		t.Errorf("expected an empty queue, got %d waiting", q.Waiting())
 	}
 }
+
+// takeTurns lets requests have their turns, one after the other, and returns how many of each team
+// had one. A team of refills enters again after each of its turns.
+func takeTurns(q *kcradmission.Queue, now kcrclock.Time, turns int, owners map[kcradmission.Ticket]kcradmission.Request, refills kcrid.Team) map[kcrid.Team]int {
+	count := map[kcrid.Team]int{}
+	for range turns {
+		ticket, ok := q.Next(now)
+		if !ok {
+			break
+		}
+		r := owners[ticket]
+		count[r.Team]++
+		q.Placed(now, r)
+		if r.Team == refills {
+			enterAll(q, now, 1, r, owners)
+		}
+	}
+	return count
+}
+
+// enterAll enters a number of equal requests.
+func enterAll(q *kcradmission.Queue, now kcrclock.Time, count int, r kcradmission.Request, owners map[kcradmission.Ticket]kcradmission.Request) {
+	for range count {
+		if ticket, entered, _ := q.Enter(now, r); entered {
+			owners[ticket] = r
+		}
+	}
+}
+
+// What a rank or team got while it alone waited is not held against it when another one enters first
+// after a calm.
+func TestPlacesGotAloneAreNotMadeUpFor(t *testing.T) {
+	for name, other := range map[string]kcradmission.Request{
+		"rank": {Rank: 1, Team: "b", Latest: 5000}, "team": {Rank: 0, Team: "b", Latest: 5000},
+	} {
+		q, owners := kcradmission.New(kcradmission.DefaultConfig()), map[kcradmission.Ticket]kcradmission.Request{}
+		first := kcradmission.Request{Rank: 0, Team: "a", Latest: 5000}
+		for range 200 {
+			enterAll(q, 1, 1, first, owners)
+			takeTurns(q, 1, 1, owners, "")
+		}
+		enterAll(q, 1, 20, other, owners)
+		enterAll(q, 1, 20, first, owners)
+		if got := takeTurns(q, 1, 20, owners, ""); got["a"] < 9 {
+			t.Errorf("%s: expected 9 of 20 turns at least, got %v", name, got)
+		}
+	}
+}
+
+// A team that has one request at a time gets no more than its share, also when requests have waited
+// for long.
+func TestTeamWithOneRequestAtATimeGetsItsShare(t *testing.T) {
+	q, owners := kcradmission.New(kcradmission.DefaultConfig()), map[kcradmission.Ticket]kcradmission.Request{}
+	enterAll(q, 1, 1, kcradmission.Request{Team: "a", Latest: 100_000}, owners)
+	const now = 20_000
+	for _, team := range []kcrid.Team{"a", "b", "c"} {
+		for range 40 {
+			enterAll(q, now, 1, kcradmission.Request{Team: team, Latest: 1_000_000}, owners)
+			if team == "b" {
+				break
+			}
+		}
+	}
+	got := takeTurns(q, now, 30, owners, "b")
+	if got["a"] < 9 || got["b"] < 9 || got["c"] < 9 {
+		t.Errorf("expected 9 of 30 turns for each team at least, got %v", got)
+	}
+}
