Admission: large bursts return spread, and a calm ends old rates

Cause: (1) requests whose turn to come back is later than the longest time were all told exactly that time, so that a large burst returned as one.

Weighed: jitter (the kernel is deterministic; the order of those within the limit would be lost).

Change: those beyond the longest time are spread over its second half by multiples of the golden ratio. An empty queue that nothing has called for 4 s begins anew.

--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 
@@ -50,6 +51,11 @@
 	rankWeight = 3.0
 	// teamRetention is how long a team is remembered that does not wait, while others do.
 	teamRetention = 8 * kcrclock.Second
+	// calm is the time without calls after which an empty queue begins anew.
+	calm = 4 * kcrclock.Second
+	// spreadStep is the golden ratio without its whole part: its multiples, without theirs, are
+	// spread evenly.
+	spreadStep = 0.6180339887498949
 )
 
 // waiter is a request that waits.
@@ -90,6 +96,8 @@
 	places     meter
 	current    float64       // virtual time of the rank whose turn was last
 	nextReturn kcrclock.Time // when the last refused request is due to come back
+
+	earlyReturns uint32 // requests that MaxRetry makes come back before their turn
 }
 
 // New returns an empty queue.
@@ -149,8 +157,12 @@
 
 // advance adds the time since the last call to the time during which requests have waited for
 // places that were to be expected. Places are counted by that time: neither those that nobody
-// waits for nor a pause that upstreams have named show a rate.
+// waits for nor a pause that upstreams have named show a rate. After a calm it begins anew: what
+// was observed before says nothing about the next load.
 func (q *Queue) advance(now kcrclock.Time) {
+	if q.waiting == 0 && now.Sub(q.advancedAt) > calm {
+		q.ranks, q.busy, q.places, q.current = nil, 0, meter{}, 0
+	}
 	if from := max(q.advancedAt, q.heldUntil); q.waiting > 0 && now > from {
 		q.busy = q.busy.Add(now.Sub(from))
 	}
@@ -361,10 +373,15 @@
 }
 
 // scheduleReturn returns the time until a request that would wait for so long is to come back:
-// after the one that was refused before it.
+// after the one that was refused before it. Those that MaxRetry makes come back earlier than that
+// are spread over its second half, so that they don't return together.
 func (q *Queue) scheduleReturn(now kcrclock.Time, wait kcrclock.Duration) kcrclock.Duration {
 	due := max(q.nextReturn.Add(pace(1, q.places.rate(q.busy))), now.Add(max(wait, q.config.MinRetry)))
-	due = min(due, now.Add(q.config.MaxRetry))
+	if due > now.Add(q.config.MaxRetry) {
+		q.earlyReturns++
+		_, part := math.Modf(float64(q.earlyReturns) * spreadStep)
+		return q.config.MaxRetry - kcrclock.Duration(part*float64(q.config.MaxRetry/2))
+	}
 	q.nextReturn = due
 	return due.Sub(now)
 }
--- a/kernel/kcradmission/queue_test.go
+++ b/kernel/kcradmission/queue_test.go
@@ -231,3 +231,36 @@
 		t.Errorf("expected 9 of 30 turns for each team at least, got %v", got)
 	}
 }
+
+// Of many requests that are refused at once, few come back at the same time.
+func TestLargeBurstDoesNotReturnTogether(t *testing.T) {
+	config := kcradmission.DefaultConfig()
+	q := kcradmission.New(config)
+	at := map[kcrclock.Duration]int{}
+	for range 2000 {
+		if _, entered, retryAfter := q.Enter(1000, kcradmission.Request{Latest: 2500}); !entered {
+			at[retryAfter/100]++
+			if retryAfter < config.MinRetry || retryAfter > config.MaxRetry {
+				t.Errorf("expected to come back within the limits, got %d ms", retryAfter)
+			}
+		}
+	}
+	for tenth, count := range at {
+		if count > 200 {
+			t.Errorf("%d requests come back after %d00 ms", count, tenth)
+		}
+	}
+}
+
+// After a calm, the slow places of an earlier load don't make the queue refuse.
+func TestRatesOfEarlierLoadDoNotLast(t *testing.T) {
+	q := kcradmission.New(kcradmission.DefaultConfig())
+	ticket, _, _ := q.Enter(1, kcradmission.Request{Latest: 20_000})
+	q.Refuse(20_000) // nobody has got a place
+	q.Leave(ticket)
+	for i := range 5 {
+		if _, entered, _ := q.Enter(80_000, kcradmission.Request{Latest: 81_000}); !entered {
+			t.Errorf("request %d after a minute without load: expected it to wait", i)
+		}
+	}
+}
