Gateway: turns of requests that leave are passed on; bans hold for those that wait

Cause: (1) a request whose time ended, or whose caller left, at the moment of its turn took the turn along: the others stood until the next tick. (2) A request whose content or prompt was banned while it waited was sent all the same, and could crash one engine more, at a time when few are left. (3) One that had waited and whose zone was then emptied got the time to come back of a queue that moves on; a caller that had left took a time to come back that others could have used.

Weighed: the ban after the choice of an upstream (a permit would be spent in vain).

Change: a request that leaves passes its turn on; the ban is asked for again at each turn; the queue gives times to come back only to requests that are there to use them.

--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -13,9 +13,9 @@
 )
 
 // This file lets requests wait that no upstream of their service takes at the moment, in the
-// order of package kcradmission. Invariants: a request that waits has not been sent; while others wait, one that arrives does not overtake them; of a
-// service, one request at a time looks for a place, and one that has found none enters again
-// with the time that it had.
+// order of package kcradmission. Invariants: a request that waits has not been sent; while others
+// wait, one that arrives does not overtake them; a turn is used or passed on; a request that has
+// found no place at its turn enters again with the time that it had.
 
 // admissionInterval is the time after which a request that waits looks for a place again, if
 // none has become free at this router: another router may have left one.
@@ -58,12 +58,22 @@
 	return t, c, true, 0
 }
 
-// leave removes a request that does not wait any more.
-func (a *admission) leave(t kcradmission.Ticket) {
+// leave removes a request that does not wait any more. If its turn has come meanwhile, the next one
+// has it.
+func (a *admission) leave(now kcrclock.Time, t kcradmission.Ticket) {
+	if !a.remove(t) {
+		a.next(now)
+	}
+}
+
+// remove removes a request, and reports whether its turn had not come.
+func (a *admission) remove(t kcradmission.Ticket) (waited bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.Leave(t)
+	waited = a.turns[t] != nil
 	delete(a.turns, t)
+	return waited
 }
 
 // next lets the request look for a place whose turn it is.
@@ -168,10 +178,10 @@
 			return nil
 		}
 		if !x.awaitTurn(turn, req.Latest) {
-			a.leave(ticket)
+			a.leave(g.clock.Now(), ticket)
 			break
 		}
-		if x.interrupted() {
+		if x.interrupted() || x.banReason() != "" {
 			a.next(g.clock.Now())
 			return nil
 		}
@@ -181,7 +191,9 @@
 			return choice
 		}
 	}
-	x.returnAfter = a.queue.Refuse(g.clock.Now())
+	if !x.interrupted() {
+		x.returnAfter = a.queue.Refuse(g.clock.Now())
+	}
 	return nil
 }
 
--- a/router/kcrgateway/admission_test.go
+++ b/router/kcrgateway/admission_test.go
@@ -3,9 +3,13 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"kingcuprun.example/kernel/kcrcrash"
+	"kingcuprun.example/kernel/kcrid"
 )
 
 // newPausingUpstream starts an upstream that wants nothing for 0.4 s after its first request, and
@@ -72,3 +76,21 @@
 		t.Errorf("expected no request of a caller that left, got %d", n-1)
 	}
 }
+
+// Guards against requests that are sent although their content was banned while they waited.
+func TestRequestThatWaitsIsNotSentAfterItsContentIsBanned(t *testing.T) {
+	t.Parallel()
+	u := newPausingUpstream(t)
+	gw := newTestGateway(t, u)
+	sendAll(t, gw, 1)
+	status := make(chan int, 1)
+	go func() { status <- sendPartsWithin(t, gw, 5000, "/patient/1", "body", "5a:30,bad:30,c:40") }()
+	time.Sleep(100 * time.Millisecond)
+	for i := range maxCrashes {
+		crash := kcrcrash.Crash{Content: kcrid.HashContent("/patient/1 team", []byte("body")), Upstream: kcrid.IncarnationOf("gone", strconv.Itoa(i))}
+		gw.crashes.RecordReport(crash)
+	}
+	if got, n := <-status, len(u.receivedRequests()); got != 503 || n != 1 {
+		t.Errorf("expected the banned request refused, got status %d and %d requests sent", got, n-1)
+	}
+}
--- /dev/null
+++ b/router/kcrgateway/admission_turn_test.go
@@ -0,0 +1,22 @@
+package kcrgateway
+
+import (
+	"testing"
+
+	"kingcuprun.example/kernel/kcradmission"
+)
+
+// Guards against a turn that is lost to those that wait when its request leaves at the same moment.
+func TestTurnOfRequestThatLeavesIsPassedOn(t *testing.T) {
+	t.Parallel()
+	a := &admission{queue: kcradmission.New(kcradmission.DefaultConfig()), turns: map[kcradmission.Ticket]chan struct{}{}}
+	first, _, _, _ := a.enter(1, kcradmission.Request{Latest: 1000})
+	_, turn, _, _ := a.enter(1, kcradmission.Request{Latest: 2000})
+	a.next(1)
+	a.leave(1, first)
+	select {
+	case <-turn:
+	default:
+		t.Error("expected the second request to have the turn of the first, which left")
+	}
+}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -114,7 +114,7 @@
 	}
 	choice := x.findUpstream()
 	if choice == nil {
-		return nil, stateNotRun, x.noUpstreamReason()
+		return nil, stateNotRun, x.noChoiceReason()
 	}
 	a = &attempt{x: x, choice: choice, suspects: x.gateway.config.PartSuspects.Sent(x.usage.sharedParts)}
 	if reason = a.connect(); reason != "" {
@@ -174,6 +174,15 @@
 // onlyEmptied reports whether only upstreams in emptied zones could serve the request.
 func (x *exchange) onlyEmptied() bool { return x.gateway.config.OnlyEmptied(x.service, x.version) }
 
+// noChoiceReason returns why no upstream was chosen: the request was banned while it waited, or
+// there is none.
+func (x *exchange) noChoiceReason() string {
+	if reason := x.banReason(); reason != "" {
+		return reason
+	}
+	return x.noUpstreamReason()
+}
+
 // noUpstreamReason returns why there is no upstream for an attempt.
 func (x *exchange) noUpstreamReason() string {
 	if x.onlyEmptied() {
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -161,6 +161,7 @@
 	gateway *kcrgateway.Gateway
 	budget  *fakeBudget
 	table   *kcrplacement.Table
+	crashes *kcrcrash.Counter
 
 	takePermit atomic.Value // of type func(kcrid.Incarnation, float64) (bool, kcrclock.Duration)
 }
@@ -182,7 +183,7 @@
 func newTestGatewayAt(t *testing.T, addr string, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
 	t.Helper()
 	clock := kcrclock.Monotonic()
-	gw := &testGateway{budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights())}
+	gw := &testGateway{budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights()), crashes: kcrcrash.New(maxCrashes)}
 	rules := kcrrule.NewActiveRules(kcrrule.Newer)
 	route := func(prefix string, kind kcrrule.RouteKind, maxRuns int, resumable bool) kcrrule.Route {
 		return kcrrule.Route{
@@ -205,7 +206,7 @@
 	gw.table.Update(clock.Now(), members)
 	g, err := kcrgateway.New(kcrgateway.Config{
 		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: kcrcrash.New(maxCrashes),
+		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, StoreIsLost: gw.budget.storeIsLost.Load},
 		Retries:     retries,
 		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, rate float64) (bool, kcrclock.Duration) {
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -71,7 +71,7 @@
 		case reasonPaused:
 			retryAfter = x.pauseRetryAfter()
 		}
-		if x.returnAfter > 0 && reason != reasonPaused && reason != reasonVersionGone {
+		if x.returnAfter > 0 && reason != reasonPaused && reason != reasonVersionGone && reason != reasonEmptied {
 			x.respondInTurn(reason)
 			return
 		}
