Admission: requests that are not prepaid weigh as much as the mean team

Cause: the share of a team was its prepaid tokens, and 1 for teams without a limit and anonymous requests. Beside a team with ten million tokens they got a place for every ten million.

Weighed: no shares for routes that don't count tokens (all teams alike there; the order of teams would depend on the route).

Change: shares are prepaid tokens by their mean, and 1 for all others.

TestTeamShare holds the weights.

--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -91,7 +91,8 @@
 	routes        map[string]map[string]*Route // by host in lower case, then by path prefix
 	teamByKey     map[string]*Team
 	teamByName    map[kcrid.Team]*Team
-	longestPrefix int // bytes
+	longestPrefix int     // bytes
+	meanPrepaid   float64 // tokens, of the teams that have prepaid some
 }
 
 // Draft is a version of the configuration as its author wrote it: in order, and with the entries
@@ -126,6 +127,7 @@
 			r.teamByKey[key] = &teams[i]
 		}
 	}
+	r.meanPrepaid = meanPrepaid(teams)
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		if r.routes[host] == nil {
@@ -139,6 +141,28 @@
 	return r
 }
 
+// meanPrepaid returns the mean of what teams have prepaid, without those that have no limit or
+// nothing, 0 if there are no others.
+func meanPrepaid(teams []Team) float64 {
+	sum, count := 0.0, 0.0
+	for i := range teams {
+		if teams[i].Prepaid > 0 {
+			sum += float64(teams[i].Prepaid)
+			count++
+		}
+	}
+	return sum / max(1, count)
+}
+
+// TeamShare returns the weight of a team among others: what it has prepaid, by the mean of all. A
+// team that has prepaid nothing or has no limit, and nil for anonymous requests, have the weight 1.
+func (r *Rules) TeamShare(t *Team) float64 {
+	if t == nil || t.Prepaid <= 0 {
+		return 1
+	}
+	return float64(t.Prepaid) / r.meanPrepaid
+}
+
 // Match returns the route of the host with the longest prefix of the path, nil if
 // there is none. Only prefixes that end in a slash can match. The port of the
 // host and the query of the path are ignored.
--- a/kernel/kcrrule/rule_test.go
+++ b/kernel/kcrrule/rule_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrrule"
 )
 
@@ -93,3 +94,16 @@
 		t.Fatal("expected the team for k2 and for no other")
 	}
 }
+
+// TestTeamShare checks that teams weigh what they have prepaid, and that those that have no limit and
+// anonymous requests, which the unit of prepaid tokens says nothing about, weigh as much as the mean.
+func TestTeamShare(t *testing.T) {
+	t.Parallel()
+	teams := []kcrrule.Team{{Name: "large", Prepaid: 15_000_000}, {Name: "small", Prepaid: 5_000_000}, {Name: "free", Prepaid: -1}, {Name: "none"}}
+	rules := kcrrule.New(1, kcrrule.Limits{}, nil, teams, nil)
+	for name, want := range map[kcrid.Team]float64{"large": 1.5, "small": 0.5, "free": 1, "none": 1, "anonymous": 1} {
+		if got := rules.TeamShare(rules.TeamByName(name)); got != want {
+			t.Errorf("%s: expected the share %v, got %v", name, want, got)
+		}
+	}
+}
--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -157,13 +157,10 @@
 	return latest
 }
 
-// admissionRequest returns the place of the request in the order of those that wait.
+// admissionRequest describes the request for the order of those that wait.
 func (x *exchange) admissionRequest() kcradmission.Request {
-	req := kcradmission.Request{Rank: x.rank(), Latest: x.latestPlace()}
+	req := kcradmission.Request{Rank: x.rank(), Team: kcrid.Team(x.teamName()), Share: x.rules.TeamShare(x.team), Latest: x.latestPlace()}
 	req.From, _ = x.gateway.table.NextPlace(x.gateway.clock.Now(), x.service)
-	if x.team != nil {
-		req.Team, req.Share = x.team.Name, float64(x.team.Prepaid)
-	}
 	return req
 }
 
