--- a/kingcuprun/kcroperate/command.go
+++ b/kingcuprun/kcroperate/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -91,6 +92,9 @@
 			if len(args) == 1 {
 				return flags.Run(cmd, args[0])
 			}
+			if flags.InForce != "" {
+				return errors.New("flag --against: expected a configuration to compare with it, got none")
+			}
 			configs, err := c.parseLists()
 			if err != nil {
 				return err
