Admission: many that wait do not keep an urgent request out

Cause: the bound of 512 waiting requests was one for all ranks; once lower ranks filled it, urgent requests were refused at once.

Weighed: putting out the last of the lowest rank (it would have waited in vain).

Change: the bound is one for each rank; the configuration has few.

Result: TestManyThatWaitDoNotKeepUrgentOut was refused before, enters now.

--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -36,7 +36,7 @@
 
 // Config holds the limits of a queue.
 type Config struct {
-	MaxWaiting int               // requests that wait at once
+	MaxWaiting int               // requests of a rank that wait at once
 	MinRetry   kcrclock.Duration // least time until a refused request comes back
 	MaxRetry   kcrclock.Duration // longest
 }
@@ -112,7 +112,7 @@
 	q.advance(now)
 	q.heldUntil = r.From
 	wait := max(0, r.From.Sub(now)) + q.expectedWait(r)
-	if q.waiting >= q.config.MaxWaiting || now.Add(wait) > r.Latest {
+	if q.waitingOf(r.Rank) >= q.config.MaxWaiting || now.Add(wait) > r.Latest {
 		return 0, false, q.scheduleReturn(now, wait)
 	}
 	q.lastTicket++
@@ -197,6 +197,16 @@
 	return q.waiting
 }
 
+// waitingOf returns the number of requests of a rank that wait.
+func (q *Queue) waitingOf(value int) (count int) {
+	if i, found := q.rankAt(value); found {
+		for _, t := range q.ranks[i].teams {
+			count += len(t.waiting)
+		}
+	}
+	return count
+}
+
 // rankAt returns the position of a rank in the list, or where it belongs.
 func (q *Queue) rankAt(value int) (i int, found bool) {
 	return slices.BinarySearchFunc(q.ranks, value, func(r *rank, value int) int { return cmp.Compare(r.value, value) })
--- a/kernel/kcradmission/queue_test.go
+++ b/kernel/kcradmission/queue_test.go
@@ -264,3 +264,14 @@
 		}
 	}
 }
+
+// However many requests of a lower rank wait, an urgent one may.
+func TestManyThatWaitDoNotKeepUrgentOut(t *testing.T) {
+	q := kcradmission.New(kcradmission.DefaultConfig())
+	for range 600 {
+		_, _, _ = q.Enter(1, kcradmission.Request{Rank: 3, Latest: 1_000_000})
+	}
+	if _, entered, _ := q.Enter(1, kcradmission.Request{Rank: 0, Latest: 1000}); !entered || q.Waiting() > 600 {
+		t.Errorf("expected an urgent request beside those that wait, got %v and %d", entered, q.Waiting())
+	}
+}
