Gateway: streams of one version go to full upstreams

Cause: a stream that goes on only at one version does not wait, but its first attempt left out upstreams that had refused another request within 150 ms, so it was refused although one of them might have had a place, as before admission.

Change: only requests that may wait leave out full upstreams.

Result: TestStreamOfOneVersionIsSentToFullUpstreams fails before, passes now.

--- a/router/kcrgateway/admission_turn_test.go
+++ b/router/kcrgateway/admission_turn_test.go
@@ -20,3 +20,12 @@
 		t.Error("expected the second request to have the turn of the first, which left")
 	}
 }
+
+// Guards against refusals, without a wait, of streams that go on only at upstreams of their version,
+// since all of these have refused another request a moment ago.
+func TestStreamOfOneVersionIsSentToFullUpstreams(t *testing.T) {
+	t.Parallel()
+	if x := (&exchange{version: "v1"}); x.placementRequest().SkipsFull {
+		t.Error("expected full upstreams of the version to be tried")
+	}
+}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -81,14 +81,15 @@
 )
 
 // placementRequest returns the criteria by which an upstream is chosen. Upstreams of
-// earlier attempts are excluded.
+// earlier attempts are excluded. Only a first attempt that may wait for another upstream leaves out
+// those that are full.
 func (x *exchange) placementRequest() kcrplacement.Request {
 	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
 		req.TransferBytes = len(x.body) + streamOverheadBytes
 	}
-	req.SkipsFull = len(x.attempts) == 0
+	req.SkipsFull = len(x.attempts) == 0 && x.version == ""
 	for _, record := range x.attempts {
 		req.Excluded = append(req.Excluded, record.vm)
 	}
