--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 
@@ -35,7 +36,7 @@
 
 // Config holds the limits of a queue.
 type Config struct {
-	MaxWaiting int               // requests that wait at once
+	MaxWaiting int               // requests of a rank that wait at once
 	MinRetry   kcrclock.Duration // least time until a refused request comes back
 	MaxRetry   kcrclock.Duration // longest
 }
@@ -48,8 +49,13 @@
 const (
 	// rankWeight is the ratio of the places of a rank to those of the next one that waits.
 	rankWeight = 3.0
-	// teamRetention is how long a team is remembered that gets no place, while others wait.
+	// teamRetention is how long a team is remembered that does not wait, while others do.
 	teamRetention = 8 * kcrclock.Second
+	// calm is the time without calls after which an empty queue begins anew.
+	calm = 4 * kcrclock.Second
+	// spreadStep is the golden ratio without its whole part: its multiples, without theirs, are
+	// spread evenly.
+	spreadStep = 0.6180339887498949
 )
 
 // waiter is a request that waits.
@@ -65,13 +71,15 @@
 	pass    float64  // virtual time: places taken by the share of the team
 	waiting []waiter // by Latest, then by arrival
 	places  meter
+	usedAt  kcrclock.Time // when it last entered or had its turn, in the time of Queue.busy
 }
 
 // rank holds the teams of one rank, those too that have none waiting.
 type rank struct {
-	value int
-	pass  float64 // virtual time: places taken by the weight of the rank
-	teams []*team // by name
+	value   int
+	pass    float64 // virtual time: places taken by the weight of the rank
+	teams   []*team // by name
+	current float64 // virtual time of the team whose turn was last
 }
 
 // Queue holds the waiting requests of one service at one router. It is safe for concurrent use.
@@ -86,7 +94,10 @@
 	advancedAt kcrclock.Time // when busy was last advanced
 	heldUntil  kcrclock.Time // no place is expected before this time
 	places     meter
+	current    float64       // virtual time of the rank whose turn was last
 	nextReturn kcrclock.Time // when the last refused request is due to come back
+
+	earlyReturns uint32 // requests that MaxRetry makes come back before their turn
 }
 
 // New returns an empty queue.
@@ -101,7 +112,7 @@
 	q.advance(now)
 	q.heldUntil = r.From
 	wait := max(0, r.From.Sub(now)) + q.expectedWait(r)
-	if q.waiting >= q.config.MaxWaiting || now.Add(wait) > r.Latest {
+	if q.waitingOf(r.Rank) >= q.config.MaxWaiting || now.Add(wait) > r.Latest {
 		return 0, false, q.scheduleReturn(now, wait)
 	}
 	q.lastTicket++
@@ -146,8 +157,12 @@
 
 // advance adds the time since the last call to the time during which requests have waited for
 // places that were to be expected. Places are counted by that time: neither those that nobody
-// waits for nor a pause that upstreams have named show a rate.
+// waits for nor a pause that upstreams have named show a rate. After a calm it begins anew: what
+// was observed before says nothing about the next load.
 func (q *Queue) advance(now kcrclock.Time) {
+	if q.waiting == 0 && now.Sub(q.advancedAt) > calm {
+		q.ranks, q.busy, q.places, q.current = nil, 0, meter{}, 0
+	}
 	if from := max(q.advancedAt, q.heldUntil); q.waiting > 0 && now > from {
 		q.busy = q.busy.Add(now.Sub(from))
 	}
@@ -182,6 +197,16 @@
 	return q.waiting
 }
 
+// waitingOf returns the number of requests of a rank that wait.
+func (q *Queue) waitingOf(value int) (count int) {
+	if i, found := q.rankAt(value); found {
+		for _, t := range q.ranks[i].teams {
+			count += len(t.waiting)
+		}
+	}
+	return count
+}
+
 // rankAt returns the position of a rank in the list, or where it belongs.
 func (q *Queue) rankAt(value int) (i int, found bool) {
 	return slices.BinarySearchFunc(q.ranks, value, func(r *rank, value int) int { return cmp.Compare(r.value, value) })
@@ -206,36 +231,37 @@
 }
 
 // insert adds a waiter to its team and rank. A rank or team that begins to wait starts at the
-// virtual time of the one whose turn it is, so that it neither catches up on places that it did
-// not need nor waits for them to be used up.
+// virtual time of the one whose turn was last, also if none waits any more: it neither catches up
+// on places that it did not need, nor do the others catch up on those that it got while alone.
 func (q *Queue) insert(w waiter) {
 	i, found := q.rankAt(w.Rank)
 	if !found {
 		q.ranks = slices.Insert(q.ranks, i, &rank{value: w.Rank})
 	}
 	r := q.ranks[i]
-	if next := q.nextRank(); next != nil && !r.waits() {
-		r.pass = max(r.pass, next.pass)
+	if !r.waits() {
+		r.pass = max(r.pass, q.current)
 	}
-	r.insert(w)
+	r.insert(w).usedAt = q.busy
 	q.waiting++
 }
 
-// insert adds a waiter to its team.
-func (r *rank) insert(w waiter) {
+// insert adds a waiter to its team, and returns the team.
+func (r *rank) insert(w waiter) *team {
 	i, found := r.teamAt(w.Team)
 	if !found {
 		r.teams = slices.Insert(r.teams, i, &team{name: w.Team})
 	}
 	t := r.teams[i]
-	if next := r.nextTeam(); next != nil && len(t.waiting) == 0 {
-		t.pass = max(t.pass, next.pass)
+	if len(t.waiting) == 0 {
+		t.pass = max(t.pass, r.current)
 	}
 	t.share = shareOf(w.Request)
 	k, _ := slices.BinarySearchFunc(t.waiting, w, func(a, b waiter) int {
 		return cmp.Or(cmp.Compare(a.Latest, b.Latest), cmp.Compare(a.ticket, b.ticket))
 	})
 	t.waiting = slices.Insert(t.waiting, k, w)
+	return t
 }
 
 // shareOf returns the weight of the team of a request.
@@ -274,6 +300,7 @@
 func (q *Queue) take(r *rank) waiter {
 	t := r.nextTeam()
 	w := t.waiting[0]
+	q.current, r.current, t.usedAt = max(q.current, r.pass), max(r.current, t.pass), q.busy
 	r.pass += 1 / q.rankShare(r.value)
 	t.pass += 1 / t.share
 	t.waiting = t.waiting[1:]
@@ -316,11 +343,11 @@
 	return shareOf(req) / sum
 }
 
-// forgetIdle forgets the teams that have got no place for long.
+// forgetIdle forgets the teams that have neither waited nor had a turn for long.
 func (q *Queue) forgetIdle() {
 	for _, r := range q.ranks {
 		r.teams = slices.DeleteFunc(r.teams, func(t *team) bool {
-			return len(t.waiting) == 0 && q.busy.Sub(t.places.at) > teamRetention
+			return len(t.waiting) == 0 && q.busy.Sub(t.usedAt) > teamRetention
 		})
 	}
 }
@@ -356,10 +383,15 @@
 }
 
 // scheduleReturn returns the time until a request that would wait for so long is to come back:
-// after the one that was refused before it.
+// after the one that was refused before it. Those that MaxRetry makes come back earlier than that
+// are spread over its second half, so that they don't return together.
 func (q *Queue) scheduleReturn(now kcrclock.Time, wait kcrclock.Duration) kcrclock.Duration {
 	due := max(q.nextReturn.Add(pace(1, q.places.rate(q.busy))), now.Add(max(wait, q.config.MinRetry)))
-	due = min(due, now.Add(q.config.MaxRetry))
+	if due > now.Add(q.config.MaxRetry) {
+		q.earlyReturns++
+		_, part := math.Modf(float64(q.earlyReturns) * spreadStep)
+		return q.config.MaxRetry - kcrclock.Duration(part*float64(q.config.MaxRetry/2))
+	}
 	q.nextReturn = due
 	return due.Sub(now)
 }
--- a/kernel/kcradmission/queue_test.go
+++ b/kernel/kcradmission/queue_test.go
@@ -163,3 +163,115 @@
 		t.Errorf("expected an empty queue, got %d waiting", q.Waiting())
 	}
 }
+
+// takeTurns lets requests have their turns, one after the other, and returns how many of each team
+// had one. A team of refills enters again after each of its turns.
+func takeTurns(q *kcradmission.Queue, now kcrclock.Time, turns int, owners map[kcradmission.Ticket]kcradmission.Request, refills kcrid.Team) map[kcrid.Team]int {
+	count := map[kcrid.Team]int{}
+	for range turns {
+		ticket, ok := q.Next(now)
+		if !ok {
+			break
+		}
+		r := owners[ticket]
+		count[r.Team]++
+		q.Placed(now, r)
+		if r.Team == refills {
+			enterAll(q, now, 1, r, owners)
+		}
+	}
+	return count
+}
+
+// enterAll enters a number of equal requests.
+func enterAll(q *kcradmission.Queue, now kcrclock.Time, count int, r kcradmission.Request, owners map[kcradmission.Ticket]kcradmission.Request) {
+	for range count {
+		if ticket, entered, _ := q.Enter(now, r); entered {
+			owners[ticket] = r
+		}
+	}
+}
+
+// What a rank or team got while it alone waited is not held against it when another one enters first
+// after a calm.
+func TestPlacesGotAloneAreNotMadeUpFor(t *testing.T) {
+	for name, other := range map[string]kcradmission.Request{
+		"rank": {Rank: 1, Team: "b", Latest: 5000}, "team": {Rank: 0, Team: "b", Latest: 5000},
+	} {
+		q, owners := kcradmission.New(kcradmission.DefaultConfig()), map[kcradmission.Ticket]kcradmission.Request{}
+		first := kcradmission.Request{Rank: 0, Team: "a", Latest: 5000}
+		for range 200 {
+			enterAll(q, 1, 1, first, owners)
+			takeTurns(q, 1, 1, owners, "")
+		}
+		enterAll(q, 1, 20, other, owners)
+		enterAll(q, 1, 20, first, owners)
+		if got := takeTurns(q, 1, 20, owners, ""); got["a"] < 9 {
+			t.Errorf("%s: expected 9 of 20 turns at least, got %v", name, got)
+		}
+	}
+}
+
+// A team that has one request at a time gets no more than its share, also when requests have waited
+// for long.
+func TestTeamWithOneRequestAtATimeGetsItsShare(t *testing.T) {
+	q, owners := kcradmission.New(kcradmission.DefaultConfig()), map[kcradmission.Ticket]kcradmission.Request{}
+	enterAll(q, 1, 1, kcradmission.Request{Team: "a", Latest: 100_000}, owners)
+	const now = 20_000
+	for _, team := range []kcrid.Team{"a", "b", "c"} {
+		for range 40 {
+			enterAll(q, now, 1, kcradmission.Request{Team: team, Latest: 1_000_000}, owners)
+			if team == "b" {
+				break
+			}
+		}
+	}
+	got := takeTurns(q, now, 30, owners, "b")
+	if got["a"] < 9 || got["b"] < 9 || got["c"] < 9 {
+		t.Errorf("expected 9 of 30 turns for each team at least, got %v", got)
+	}
+}
+
+// Of many requests that are refused at once, few come back at the same time.
+func TestLargeBurstDoesNotReturnTogether(t *testing.T) {
+	config := kcradmission.DefaultConfig()
+	q := kcradmission.New(config)
+	at := map[kcrclock.Duration]int{}
+	for range 2000 {
+		if _, entered, retryAfter := q.Enter(1000, kcradmission.Request{Latest: 2500}); !entered {
+			at[retryAfter/100]++
+			if retryAfter < config.MinRetry || retryAfter > config.MaxRetry {
+				t.Errorf("expected to come back within the limits, got %d ms", retryAfter)
+			}
+		}
+	}
+	for tenth, count := range at {
+		if count > 200 {
+			t.Errorf("%d requests come back after %d00 ms", count, tenth)
+		}
+	}
+}
+
+// After a calm, the slow places of an earlier load don't make the queue refuse.
+func TestRatesOfEarlierLoadDoNotLast(t *testing.T) {
+	q := kcradmission.New(kcradmission.DefaultConfig())
+	ticket, _, _ := q.Enter(1, kcradmission.Request{Latest: 20_000})
+	q.Refuse(20_000) // nobody has got a place
+	q.Leave(ticket)
+	for i := range 5 {
+		if _, entered, _ := q.Enter(80_000, kcradmission.Request{Latest: 81_000}); !entered {
+			t.Errorf("request %d after a minute without load: expected it to wait", i)
+		}
+	}
+}
+
+// However many requests of a lower rank wait, an urgent one may.
+func TestManyThatWaitDoNotKeepUrgentOut(t *testing.T) {
+	q := kcradmission.New(kcradmission.DefaultConfig())
+	for range 600 {
+		_, _, _ = q.Enter(1, kcradmission.Request{Rank: 3, Latest: 1_000_000})
+	}
+	if _, entered, _ := q.Enter(1, kcradmission.Request{Rank: 0, Latest: 1000}); !entered || q.Waiting() > 600 {
+		t.Errorf("expected an urgent request beside those that wait, got %v and %d", entered, q.Waiting())
+	}
+}
--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -12,9 +12,9 @@
 )
 
 // This file lets requests wait that no upstream of their service takes at the moment, in the
-// order of package kcradmission. Invariants: a request that waits has not been sent; while others wait, one that arrives does not overtake them; of a
-// service, one request at a time looks for a place, and one that has found none enters again
-// with the time that it had.
+// order of package kcradmission. Invariants: a request that waits has not been sent; while others
+// wait, one that arrives does not overtake them; a turn is used or passed on; a request that has
+// found no place at its turn enters again with the time that it had.
 
 // admissionInterval is the time after which a request that waits looks for a place again, if
 // none has become free at this router: another router may have left one.
@@ -57,12 +57,22 @@
 	return t, c, true, 0
 }
 
-// leave removes a request that does not wait any more.
-func (a *admission) leave(t kcradmission.Ticket) {
+// leave removes a request that does not wait any more. If its turn has come meanwhile, the next one
+// has it.
+func (a *admission) leave(now kcrclock.Time, t kcradmission.Ticket) {
+	if !a.remove(t) {
+		a.next(now)
+	}
+}
+
+// remove removes a request, and reports whether its turn had not come.
+func (a *admission) remove(t kcradmission.Ticket) (waited bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.Leave(t)
+	waited = a.turns[t] != nil
 	delete(a.turns, t)
+	return waited
 }
 
 // next lets the request look for a place whose turn it is.
@@ -146,13 +156,10 @@
 	return latest
 }
 
-// admissionRequest returns the place of the request in the order of those that wait.
+// admissionRequest describes the request for the order of those that wait.
 func (x *exchange) admissionRequest() kcradmission.Request {
-	req := kcradmission.Request{Rank: x.rank(), Latest: x.latestPlace()}
+	req := kcradmission.Request{Rank: x.rank(), Team: kcrid.Team(x.teamName()), Share: x.rules.TeamShare(x.team), Latest: x.latestPlace()}
 	req.From, _ = x.gateway.table.NextPlace(x.gateway.clock.Now(), x.service)
-	if x.team != nil {
-		req.Team, req.Share = x.team.Name, float64(x.team.Prepaid)
-	}
 	return req
 }
 
@@ -167,12 +174,12 @@
 			return nil, x.noUpstreamReason()
 		}
 		if !x.awaitTurn(turn, req.Latest) {
-			waiting.leave(ticket)
+			waiting.leave(g.clock.Now(), ticket)
 			break
 		}
-		if x.interrupted() {
+		if x.interrupted() || x.banReason() != "" {
 			waiting.next(g.clock.Now())
-			return nil, x.interruptReason()
+			return nil, x.noChoiceReason()
 		}
 		if a, reason = x.connectToUpstream(); a != nil {
 			waiting.queue.Placed(g.clock.Now(), req)
@@ -180,11 +187,10 @@
 			return a, reason
 		}
 	}
-	if x.interrupted() {
-		return nil, x.interruptReason()
+	if !x.interrupted() {
+		x.returnAfter = waiting.queue.Refuse(g.clock.Now())
 	}
-	x.returnAfter = waiting.queue.Refuse(g.clock.Now())
-	return nil, x.noUpstreamReason()
+	return nil, x.noChoiceReason()
 }
 
 // awaitTurn waits for the turn of the request, and reports whether it came before its time was
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -83,14 +83,15 @@
 )
 
 // placementRequest returns the criteria by which an upstream is chosen. Upstreams of
-// earlier attempts are excluded.
+// earlier attempts are excluded. Only a first attempt that may wait for another upstream leaves out
+// those that are full.
 func (x *exchange) placementRequest() kcrplacement.Request {
 	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
 		req.TransferBytes = len(x.body) + streamOverheadBytes
 	}
-	req.SkipsFull = len(x.attempts) == 0
+	req.SkipsFull = len(x.attempts) == 0 && x.version == ""
 	for _, record := range x.attempts {
 		req.Excluded = append(req.Excluded, record.vm)
 	}
@@ -151,6 +152,15 @@
 // onlyEmptied reports whether only upstreams in emptied zones could serve the request.
 func (x *exchange) onlyEmptied() bool { return x.gateway.config.OnlyEmptied(x.service, x.version) }
 
+// noChoiceReason returns why no upstream was chosen: the request was banned while it waited, or
+// there is none.
+func (x *exchange) noChoiceReason() string {
+	if reason := x.banReason(); reason != "" {
+		return reason
+	}
+	return x.noUpstreamReason()
+}
+
 // noUpstreamReason returns why there is no upstream for an attempt.
 func (x *exchange) noUpstreamReason() string {
 	if x.onlyEmptied() {
