Escrow: loans for a crowd at one router

Cause: a plan had at most one loan in progress, sized by one request that waits. Change: requests wait in a queue by rank and time left; loans cover what all of them lack, up to four side by side, and the delay of a loan ahead; a home shares what is left by need; 402 only if reservations that end can't cover the request either; 503 names a time to come back, at the pace of grants; a home has twice its usual delay to answer; the answer to a loan or a return that was lost is asked for again, by id. Weighed: strict order, ranks at the home, larger loans ahead (docs/design/crowd.md). Tests: TestCrowdAtOneRouter, with loans of one request: 1,465 and 1,688 of 1,800 refused; TestEndOfBudgetIsShared, without shares: three of five routers serve nothing; TestQueueOrder; TestLostAnswerIsToldAgain. TestStranded holds.

--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -89,7 +89,9 @@
 	permits           *permitDesk
 	origins           *originDesk
 	loans             prometheus.Counter // loans started
+	pendingRefusals   prometheus.Counter // requests that waited for escrow in vain
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
+	transferCount     atomic.Uint64      // loans and returns so far
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
 	pool              *kcrlink.Pool
 	server            *kcrlink.Server // for other routers, nil without a control address
@@ -126,23 +128,24 @@
 // New starts a node.
 func New(c Config) (n *Node, err error) {
 	n = &Node{
-		self:          c.Self,
-		clock:         c.Clock,
-		logger:        c.Logger,
-		rules:         kcrrule.NewActiveRules(kcrrule.Newer),
-		fleet:         kcrfleet.New(missingEntryGrace),
-		table:         kcrplacement.New(c.Zone, c.Weights),
-		crashes:       kcrcrash.New(maxCrashes),
-		partSuspects:  kcrcrash.NewPartSuspects(maxCrashes),
-		crashReview:   kcrcrash.NewReview(c.EntryTimeout),
-		escrowChanged: kcrdaemon.NewSignal(),
-		homes:         newHomeDirectory(),
-		permits:       newPermitDesk(),
-		origins:       newOriginDesk(),
-		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
-		peers:         kcrpeer.New(c.Self, c.ControlAddr),
-		pool:          kcrlink.NewPool(),
-		parseRules:    c.ParseRules,
+		self:            c.Self,
+		clock:           c.Clock,
+		logger:          c.Logger,
+		rules:           kcrrule.NewActiveRules(kcrrule.Newer),
+		fleet:           kcrfleet.New(missingEntryGrace),
+		table:           kcrplacement.New(c.Zone, c.Weights),
+		crashes:         kcrcrash.New(maxCrashes),
+		partSuspects:    kcrcrash.NewPartSuspects(maxCrashes),
+		crashReview:     kcrcrash.NewReview(c.EntryTimeout),
+		escrowChanged:   kcrdaemon.NewSignal(),
+		homes:           newHomeDirectory(),
+		permits:         newPermitDesk(),
+		origins:         newOriginDesk(),
+		loans:           prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
+		pendingRefusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_escrow_pending_total", Help: "Requests that waited for escrow in vain though the budget may cover them."}),
+		peers:           kcrpeer.New(c.Self, c.ControlAddr),
+		pool:            kcrlink.NewPool(),
+		parseRules:      c.ParseRules,
 	}
 	n.configUnavailable.Store(true)
 	n.DoubtConfig()
@@ -155,7 +158,7 @@
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
-		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
+		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, ReturnAfter: n.ReturnAfter, StoreIsLost: n.fleet.StoreIsLost},
 	})
 	if err != nil {
 		return nil, err
@@ -426,7 +429,19 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans)
+	c.Metrics.MustRegister(n.loans, n.pendingRefusals)
+	gauge("kcr_escrow_waiting_requests", "Requests that wait for escrow.", func() (sum float64) {
+		for _, b := range n.buckets {
+			sum += float64(b.queue.Len())
+		}
+		return sum
+	})
+	gauge("kcr_loans_in_flight", "Loans in flight.", func() (sum float64) {
+		for _, b := range n.buckets {
+			sum += float64(b.loans.Count())
+		}
+		return sum
+	})
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
