Gateway: the time for a connection follows a slow link

Weighed: a longer time for all; a dead upstream would then cost each request more. Change: the time is twice the smoothed time of connections, 200 to 800 ms; a timeout counts only if one at another address came just before. Test: TestDialTimeFollowsSlowLink.

--- /dev/null
+++ b/router/kcrgateway/dial_timer_test.go
@@ -0,0 +1,33 @@
+package kcrgateway
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+// TestDialTimeFollowsSlowLink checks that the time for a connection grows if upstream after
+// upstream does not answer, and neither for one that is dead nor once connections succeed again.
+func TestDialTimeFollowsSlowLink(t *testing.T) {
+	t.Parallel()
+	dead, slow := &dialTimer{}, &dialTimer{}
+	for range 20 {
+		dead.record("a", minDialTimeout, os.ErrDeadlineExceeded)
+		dead.record("b", time.Millisecond, nil)
+		dead.record("a", minDialTimeout, os.ErrDeadlineExceeded)
+		slow.record("a", slow.timeout(), os.ErrDeadlineExceeded)
+		slow.record("b", slow.timeout(), os.ErrDeadlineExceeded)
+	}
+	if got := dead.timeout(); got != minDialTimeout {
+		t.Errorf("one dead upstream: expected %s, got %s", minDialTimeout, got)
+	}
+	if got := slow.timeout(); got != maxDialTimeout {
+		t.Errorf("a slow link: expected %s, got %s", maxDialTimeout, got)
+	}
+	for range 20 {
+		slow.record("b", time.Millisecond, nil)
+	}
+	if got := slow.timeout(); got != minDialTimeout {
+		t.Errorf("a link that is fast again: expected %s, got %s", minDialTimeout, got)
+	}
+}
--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -33,7 +33,6 @@
 
 // Timing and sizes of connections.
 const (
-	dialTimeout = 200 * time.Millisecond
 	// defaultKeepAlive applies if the upstream does not state how long it keeps an
 	// idle connection open.
 	defaultKeepAlive = 4 * kcrclock.Second
@@ -49,7 +48,7 @@
 
 // pool keeps idle connections. It is safe for concurrent use.
 type pool struct {
-	dialer net.Dialer
+	dialTimer dialTimer
 
 	mu   sync.Mutex
 	idle map[string][]*upstreamConn // by VM and address, most recently used last
@@ -57,8 +56,7 @@
 
 func newPool() *pool {
 	return &pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout},
-		idle:   map[string][]*upstreamConn{},
+		idle: map[string][]*upstreamConn{},
 	}
 }
 
@@ -129,7 +127,10 @@
 
 // dial opens a connection to an upstream.
 func (p *pool) dial(vm kcrid.VM, addr string) (*upstreamConn, error) {
-	conn, err := p.dialer.Dial("tcp", addr)
+	dialer := net.Dialer{Timeout: p.dialTimer.timeout(), KeepAlive: -1, Control: setTCPUserTimeout}
+	start := time.Now()
+	conn, err := dialer.Dial("tcp", addr)
+	p.dialTimer.record(addr, time.Since(start), err)
 	if err != nil {
 		return nil, err
 	}
