Admission: a turn without a place does not count; the test decides when there is a place

Cause: while nothing had a place, each try charged the rank whose turn it was, so that the rank that went first in the end depended on the number of tries. The test let 0.4 s of real time pass and failed once beside load. Change: the place is charged when there is one. The test gives permits when all wait.

--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -131,7 +131,7 @@
 
 // Next takes the request whose turn it is, if any waits whose time has not passed. The caller
 // calls it when there may be a place, and Placed if there was one; a request that finds none
-// enters again.
+// enters again, and its turn does not count.
 func (q *Queue) Next(now kcrclock.Time) (t Ticket, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -144,7 +144,7 @@
 	return 0, false
 }
 
-// Placed records that a request that waited got a place.
+// Placed records that a request that waited got a place, and charges it to its rank and team.
 func (q *Queue) Placed(now kcrclock.Time, r Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -152,6 +152,10 @@
 	q.places.add(q.busy)
 	if t := q.findTeam(r); t != nil {
 		t.places.add(q.busy)
+		t.pass += 1 / t.share
+	}
+	if i, found := q.rankAt(r.Rank); found {
+		q.ranks[i].pass += 1 / q.rankShare(r.Rank)
 	}
 }
 
@@ -295,14 +299,11 @@
 	return next
 }
 
-// take removes the first waiter of the team of a rank whose turn it is, and charges the place to
-// the team and the rank.
+// take removes the first waiter of the team of a rank whose turn it is.
 func (q *Queue) take(r *rank) waiter {
 	t := r.nextTeam()
 	w := t.waiting[0]
 	q.current, r.current, t.usedAt = max(q.current, r.pass), max(r.current, t.pass), q.busy
-	r.pass += 1 / q.rankShare(r.value)
-	t.pass += 1 / t.share
 	t.waiting = t.waiting[1:]
 	q.waiting--
 	q.forgetIdle()
--- a/router/kcrgateway/admission_test.go
+++ b/router/kcrgateway/admission_test.go
@@ -1,15 +1,19 @@
 package kcrgateway_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrcrash"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrplacement"
 )
 
 // newPausingUpstream starts an upstream that wants nothing for 0.4 s after its first request, and
@@ -28,13 +32,20 @@
 // requests of a lower rank go before an urgent one that came after them.
 func TestRequestsWaitForPlaceByRank(t *testing.T) {
 	t.Parallel()
-	u := newPausingUpstream(t)
+	var rate atomic.Value
+	rate.Store("5")
+	u := newLimitedUpstream(t, "u", &rate)
 	gw := newTestGateway(t, u)
+	var places atomic.Int64
+	gw.takePermit.Store(func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration) { return places.Add(-1) >= 0, 10 })
 	sendAll(t, gw, 1)
 	const patient = 5
 	statuses := make(chan int, patient+1)
 	send := func(path string) {
-		head, _, err := roundTrip(t, gw, path, "X-Deadline: 5000\r\n")
+		conn := dial(t, gw)
+		_, rawRequest := newRequest(path, "", "body")
+		_, _ = io.WriteString(conn, strings.Replace(rawRequest, "X-Deadline: 1500", "X-Deadline: 6000", 1))
+		head, _, err := readResponse(bufio.NewReader(conn))
 		if err != nil {
 			t.Errorf("%s: %v", path, err)
 			statuses <- 0
@@ -45,8 +56,13 @@
 	for range patient {
 		go send("/patient/1")
 	}
-	time.Sleep(100 * time.Millisecond)
+	waitFor(t, "the patient requests wait", func() bool { return gw.waits(t) == patient })
 	go send("/urgent/1")
+	waitFor(t, "the urgent request waits", func() bool { return gw.waits(t) == patient+1 })
+	time.Sleep(50 * time.Millisecond) // it has entered the queue
+	places.Store(1)
+	waitFor(t, "a request has got the place", func() bool { return u.requestCount.Load() == 2 })
+	places.Store(patient)
 	for range patient + 1 {
 		if status := <-statuses; status != 200 {
 			t.Errorf("expected a request that waits to be served, got status %d", status)
@@ -58,6 +74,21 @@
 	}
 }
 
+// waits returns how many requests have waited for a place.
+func (gw *testGateway) waits(t *testing.T) (count float64) {
+	t.Helper()
+	families, err := gw.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == "kcr_gateway_waits_total" {
+			count = family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return count
+}
+
 // Guards against requests whose caller has left while they waited.
 func TestRequestThatWaitsIsNotSentAfterItsCallerLeft(t *testing.T) {
 	t.Parallel()
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -161,10 +161,11 @@
 
 // testGateway is a gateway with the dependencies that tests inspect.
 type testGateway struct {
-	gateway *kcrgateway.Gateway
-	budget  *fakeBudget
-	table   *kcrplacement.Table
-	crashes *kcrcrash.Counter
+	gateway  *kcrgateway.Gateway
+	budget   *fakeBudget
+	table    *kcrplacement.Table
+	registry *prometheus.Registry
+	crashes  *kcrcrash.Counter
 
 	takePermit atomic.Value // of type func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration)
 }
@@ -186,7 +187,7 @@
 func newTestGatewayAt(t *testing.T, addr string, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
 	t.Helper()
 	clock := kcrclock.Monotonic()
-	gw := &testGateway{budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights()), crashes: kcrcrash.New(maxCrashes)}
+	gw := &testGateway{registry: prometheus.NewRegistry(), budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights()), crashes: kcrcrash.New(maxCrashes)}
 	rules := kcrrule.NewActiveRules(kcrrule.Newer)
 	route := func(prefix string, kind kcrrule.RouteKind, maxRuns int, resumable bool) kcrrule.Route {
 		return kcrrule.Route{
@@ -209,7 +210,7 @@
 	gw.table.Update(clock.Now(), members)
 	g, err := kcrgateway.New(kcrgateway.Config{
 		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
+		Metrics: gw.registry, Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, ReturnAfter: returnSoon, StoreIsLost: gw.budget.storeIsLost.Load},
 		Retries:     retries,
 		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, limit kcrplacement.RateLimit) (bool, kcrclock.Duration) {
