--- a/kernel/kcrcheck/check.go
+++ b/kernel/kcrcheck/check.go
@@ -89,8 +89,10 @@
 		field string
 		value int64
 	}{
-		{"MaxHeaderBytes", int64(l.MaxHeaderBytes)}, {"MaxBodyBytes", int64(l.MaxBodyBytes)},
-		{"HeaderTimeout", int64(l.HeaderTimeout)}, {"IdleTimeout", int64(l.IdleTimeout)},
+		{"MaxHeaderBytes", int64(l.MaxHeaderBytes)},
+		{"MaxBodyBytes", int64(l.MaxBodyBytes)},
+		{"HeaderTimeout", int64(l.HeaderTimeout)},
+		{"IdleTimeout", int64(l.IdleTimeout)},
 	} {
 		if limit.value <= 0 {
 			c.report(Error, Limits, 0, limit.field, "expected a limit above 0, got %d: no request passes", limit.value)
--- a/router/kcrgateway/admission_turn_test.go
+++ b/router/kcrgateway/admission_turn_test.go
@@ -10,9 +10,13 @@
 func TestTurnOfRequestThatLeavesIsPassedOn(t *testing.T) {
 	t.Parallel()
 	a := &admission{queue: kcradmission.New(kcradmission.DefaultConfig()), turns: map[kcradmission.Ticket]chan struct{}{}}
-	first, _, _, _ := a.enter(1, kcradmission.Request{Latest: 1000})
-	_, turn, _, _ := a.enter(1, kcradmission.Request{Latest: 2000})
+	first, firstTurn, _, _ := a.enter(1, kcradmission.Request{Latest: 1000})
+	_, turn, entered, _ := a.enter(1, kcradmission.Request{Latest: 2000})
+	if !entered {
+		t.Fatal("expected the second request to enter")
+	}
 	a.next(1)
+	<-firstTurn
 	a.leave(1, first)
 	select {
 	case <-turn:
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -15,6 +15,9 @@
 	waits        *prometheus.CounterVec   // of requests for a place, by service
 }
 
+// serviceLabel is the label for a service.
+const serviceLabel = "service"
+
 // routeKindLabel is the label for the kind of a route.
 const routeKindLabel = "kind"
 
@@ -25,12 +28,12 @@
 func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
 		responses:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_answers_total", Help: "Answers by kind of route and reason."}, []string{routeKindLabel, "reason"}),
-		attempts:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_attempts_total", Help: "Attempts at upstreams by service and result."}, []string{"service", "result"}),
+		attempts:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_attempts_total", Help: "Attempts at upstreams by service and result."}, []string{serviceLabel, "result"}),
 		firstLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_first_seconds", Help: "Time to the answer or its first event.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		totalLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_whole_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		dials:        prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_gateway_dials_total", Help: "New connections to upstreams."}),
-		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{"service", "granted"}),
-		waits:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_waits_total", Help: "Requests that waited, or were refused, since no upstream of their service had a place."}, []string{"service"}),
+		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{serviceLabel, "granted"}),
+		waits:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_waits_total", Help: "Requests that waited, or were refused, since no upstream of their service had a place."}, []string{serviceLabel}),
 	}
 	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.waits)
 	return m
