Admission: a turn is passed on once an upstream has begun to answer

Cause: each request that found a place let the next one go at once, so that all that waited went to an upstream that had refused a moment ago, and still would (review).

--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -183,7 +183,7 @@
 		}
 		if a, reason = x.connectToUpstream(); a != nil {
 			waiting.queue.Placed(g.clock.Now(), req)
-			waiting.next(g.clock.Now())
+			x.admittedBy = waiting
 			return a, reason
 		}
 	}
@@ -193,6 +193,15 @@
 	return nil, x.noChoiceReason()
 }
 
+// passTurnOn lets the next request look for a place, once the upstream has begun to answer one
+// that has waited: so many that wait don't go to one that has refused requests, and still does.
+func (x *exchange) passTurnOn() {
+	if x.admittedBy != nil {
+		x.admittedBy.next(x.gateway.clock.Now())
+		x.admittedBy = nil
+	}
+}
+
 // awaitTurn waits for the turn of the request, and reports whether it came before its time was
 // over or its caller left.
 func (x *exchange) awaitTurn(turn <-chan struct{}, latest kcrclock.Time) bool {
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -155,6 +155,7 @@
 	spentTokens       kcrid.Tokens      // charged to the team's budget
 	budgetWait        kcrclock.Duration // until the budget was reserved or refused
 	placeWait         kcrclock.Duration // for an upstream that takes the request
+	admittedBy        *admission        // in which it has waited, until an upstream has begun to answer it
 	returnAfter       kcrclock.Duration // when the caller is to come back, 0 if no order of return is known
 	deadline          kcrclock.Time
 	content           kcrid.ContentHash // hash of target, team and body, 0 before admission
--- a/router/kcrgateway/crash.go
+++ b/router/kcrgateway/crash.go
@@ -79,6 +79,7 @@
 func (a *attempt) responseStarted() {
 	a.silence.Stop()
 	a.choice.ResponseStarted(a.x.gateway.clock.Now())
+	a.x.passTurnOn()
 }
 
 // probeForCrash probes an upstream whose connection ended before its response did. If it
