Placement: a model of each engine, learned from answers

Cause: 100 tokens a ms and 15 ms to the first event were constants of one deployment (others read 48 and 57), and engines of 0.6, 1 and 1.6 of the usual pace got equal shares of the prompts.

Change: a router learns a line for each service (base and time a token), near the lower edge of what it measures, and a slowness and a passing delay for each engine; what is learned fades to the average of the service. Costs stay in tokens to read, with times converted by the learned pace and limits taken from the targets of the route. Preferred engines are ranked by weighted rendezvous over coarse classes of pace. Requests carry rank and targets.

--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -51,8 +51,6 @@
 	decayTime = 4 * kcrclock.Second
 	// failureWeight is the weight of the newest result in the failure rate.
 	failureWeight = 0.25
-	// latencyWeight is the weight of the newest sample in the average latency.
-	latencyWeight = 0.15
 	// maxCachedParts bounds the parts remembered per upstream; beyond it, all
 	// of them are forgotten.
 	maxCachedParts = 4096
@@ -62,20 +60,20 @@
 // service.
 type upstream struct {
 	Upstream
-	hash         uint64            // of the ID
-	longPool     bool              // belongs to the long-prompt pool
-	inflight     int               // requests of this router
-	backlog      kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
-	retryAt      kcrclock.Time     // end of the cooldown
-	backoff      kcrclock.Duration // last cooldown after a failed connection
-	fails        float64           // failure rate from 0 to 1, as of failsAt
-	failsAt      kcrclock.Time
-	latencyRatio float64             // average of measured by expected latency, 0 before the first sample
-	latencyAt    kcrclock.Time       // of the last sample
-	warmAt       kcrclock.Time       // end of the slow time after a start
-	cachedParts  map[uint64]struct{} // IDs of the parts that it is assumed to have cached
-	rateLimit    RateLimit           // as it named it last
-	heardAt      atomic.Int64        // when it last sent something, as a kcrclock.Time; 0 for never
+	hash        uint64            // of the ID
+	longPool    bool              // belongs to the long-prompt pool
+	inflight    int               // requests of this router
+	backlog     kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
+	retryAt     kcrclock.Time     // end of the cooldown
+	backoff     kcrclock.Duration // last cooldown after a failed connection
+	fails       float64           // failure rate from 0 to 1, as of failsAt
+	failsAt     kcrclock.Time
+	engine      engine              // what was learned of its pace
+	unsure      kcrid.Tokens        // of the backlog, those that may be cached
+	warmAt      kcrclock.Time       // end of the slow time after a start
+	cachedParts map[uint64]struct{} // IDs of the parts that it is assumed to have cached
+	rateLimit   RateLimit           // as it named it last
+	heardAt     atomic.Int64        // when it last sent something, as a kcrclock.Time; 0 for never
 
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 	pausedUntil   kcrclock.Time // wants no requests before this time
@@ -86,7 +84,7 @@
 
 // uncached returns the number of prompt tokens that an upstream has to read. A
 // prefix cache is usable up to the first part that is not cached.
-func (u *upstream) uncached(req Request) kcrid.Tokens {
+func (u *upstream) uncached(req *Request) kcrid.Tokens {
 	uncached := req.PromptTokens
 	for _, p := range req.PromptParts {
 		if _, ok := u.cachedParts[p.ID]; !ok {
@@ -112,24 +110,17 @@
 }
 
 // failureRate returns the decayed failure rate.
-func (u *upstream) failureRate(now kcrclock.Time) float64 { return u.fails * decay(now.Sub(u.failsAt)) }
+func (u *upstream) failureRate(now kcrclock.Time) float64 {
+	if u.fails == 0 {
+		return 0
+	}
+	return u.fails * decay(now.Sub(u.failsAt))
+}
 
 // decay returns the remaining weight of an observation of the given age.
 // Because of the decay, an upstream that performed badly is tried again.
 func decay(age kcrclock.Duration) float64 { return math.Exp(-age.Seconds() / decayTime.Seconds()) }
 
-// Read speed and base latency of an idle engine. Measured latencies are divided
-// by the latency that these predict, to detect slow engines.
-const (
-	readPerMS   = 100 // tokens
-	baseLatency = 15  // ms
-)
-
-// expectedLatency estimates the time to the first event of the response.
-func expectedLatency(u *upstream, uncached kcrid.Tokens) kcrclock.Duration {
-	return kcrclock.Duration((u.backlog+uncached)/readPerMS) + baseLatency
-}
-
 // Heard reports that the upstream has sent something.
 func (c *Choice) Heard(now kcrclock.Time) { c.state.heardAt.Store(int64(now)) }
 
@@ -137,29 +128,24 @@
 func (c *Choice) HeardAt() kcrclock.Time { return kcrclock.Time(c.state.heardAt.Load()) }
 
 // ResponseStarted reports that the response has begun to arrive: the prompt is read, and
-// the upstream is reachable.
-func (c *Choice) ResponseStarted(now kcrclock.Time) {
+// the upstream is reachable. It returns the upstream's class of pace, and whether that has changed.
+func (c *Choice) ResponseStarted(now kcrclock.Time) (class int, changed bool) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	c.endTrial(now, true)
-	c.state.backlog -= c.pending
-	c.pending = 0
+	c.releaseBacklog()
 	c.state.backoff = 0
 	c.state.retryAt = min(c.state.retryAt, now)
-	ratio := float64(now.Sub(c.started)) / float64(c.ExpectedLatency)
-	c.state.latencyAt = now
-	updateAverage(&c.state.latencyRatio, ratio, latencyWeight)
-	updateAverage(&c.service.latencyRatio, ratio, latencyWeight/4)
+	c.firstAt = now
+	changed = c.learnFirstEvent(now)
+	return c.state.engine.class, changed
 }
 
-// updateAverage adds a sample to an exponentially weighted average. The first
-// sample replaces the zero value.
-func updateAverage(average *float64, sample, weight float64) {
-	if *average == 0 {
-		*average = sample
-		return
-	}
-	*average += weight * (sample - *average)
+// releaseBacklog takes the tokens of the request out of the backlog of its upstream.
+func (c *Choice) releaseBacklog() {
+	c.state.backlog -= c.pending
+	c.state.unsure -= c.unsure
+	c.pending, c.unsure = 0, 0
 }
 
 // Finish reports the result of the attempt and removes the request from the load of
@@ -170,8 +156,7 @@
 	u := c.state
 	c.endTrial(now, false)
 	u.inflight--
-	u.backlog -= c.pending
-	c.pending = 0
+	c.releaseBacklog()
 	switch r {
 	case Served:
 		u.recordResult(now, 0)
--- a/kernel/kcrplacement/pool.go
+++ b/kernel/kcrplacement/pool.go
@@ -13,9 +13,9 @@
 // stream on the same engine beyond its latency target. Long prompts therefore
 // go to a small pool of engines.
 const (
-	// longTokens is the length of the last part, which no other request
-	// shares, from which a prompt counts as long.
-	longTokens = 25000
+	// longShare is the share of the target for the time between events that the reading of the
+	// last part, which no other request shares, takes from which a prompt counts as long.
+	longShare = 0.625
 	// longPoolShare is the fraction of the engines in the pool. It equals the
 	// share of long prompts in all tokens that are read.
 	longPoolShare = 0.12
@@ -38,9 +38,9 @@
 func (s *service) longPoolSize() int { return int(longPoolShare * float64(len(s.upstreams))) }
 
 // usesLongPool reports whether a request belongs in the long-prompt pool.
-func (s *service) usesLongPool(req *Request) bool { return req.isLong() && s.longPoolSize() > 0 }
+func (s *service) usesLongPool(req *Request) bool { return s.isLong(req) && s.longPoolSize() > 0 }
 
 // isLong reports whether the unshared part of the prompt is long.
-func (req *Request) isLong() bool {
-	return len(req.PromptParts) > 0 && req.PromptParts[len(req.PromptParts)-1].Tokens >= longTokens
+func (s *service) isLong(req *Request) bool {
+	return len(req.PromptParts) > 0 && s.line.perToken*float64(req.ownTokens()) >= longShare*gapTarget(req.GapTarget)
 }
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -43,8 +43,7 @@
 	defer c.service.mu.Unlock()
 	c.endTrial(until, false)
 	c.state.inflight--
-	c.state.backlog -= c.pending
-	c.pending = 0
+	c.releaseBacklog()
 	c.state.withheldUntil = max(c.state.withheldUntil, until)
 }
 
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -39,6 +39,7 @@
 	Zone            kcrid.Zone
 	Version         string            // of its software, "" if unknown
 	Slots           int               // requests that it runs at once
+	Capacity        kcrid.Tokens      // of its memory, 0 if its requests have no tokens
 	StartedAt       int64             // start of the process; a new value means a restart
 	WarmupRemaining kcrclock.Duration // how long it is still slow after its start
 }
@@ -46,12 +47,16 @@
 // Request describes a request to be placed.
 type Request struct {
 	Service       kcrid.Service
-	PromptParts   []PromptPart // none for a request without a prompt
-	PromptTokens  kcrid.Tokens // length of the whole prompt
-	TransferBytes int          // size of the request and its response
-	Version       string       // upstreams of other versions are not chosen, "" for any
-	Excluded      []kcrid.VM   // upstreams of earlier attempts, which are not chosen again
-	Unlimited     bool         // upstreams with a rate limit are not chosen
+	PromptParts   []PromptPart      // none for a request without a prompt
+	PromptTokens  kcrid.Tokens      // length of the whole prompt
+	OutputTokens  kcrid.Tokens      // most tokens of the output
+	TransferBytes int               // size of the request and its response
+	Version       string            // upstreams of other versions are not chosen, "" for any
+	Excluded      []kcrid.VM        // upstreams of earlier attempts, which are not chosen again
+	Unlimited     bool              // upstreams with a rate limit are not chosen
+	Rank          int               // requests of a lower value start first
+	Target        kcrclock.Duration // for the time to the first event, 0 for none
+	GapTarget     kcrclock.Duration // for the time between events, 0 for none
 }
 
 // service holds the upstreams of one service.
@@ -60,8 +65,10 @@
 	upstreams    []*upstream
 	byID         map[kcrid.VM]*upstream
 	leaving      map[kcrid.VM]int64 // starts of upstreams that have said that they leave
-	latencyRatio float64            // average over all upstreams
-	rotation     int                // offset at which the next scan of the upstreams begins
+	line         line               // the pace of its usual upstream
+	meanSlowness float64            // average over the upstreams, as a logarithm, as of refreshedAt
+	refreshedAt  kcrclock.Time
+	rotation     int // offset at which the next scan of the upstreams begins
 }
 
 // Table is one router's view of all upstreams. It is safe for concurrent use.
@@ -89,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s = t.services[name]; s == nil {
-		s = &service{byID: map[kcrid.VM]*upstream{}, leaving: map[kcrid.VM]int64{}}
+		s = &service{byID: map[kcrid.VM]*upstream{}, leaving: map[kcrid.VM]int64{}, line: newLine()}
 		t.services[name] = s
 	}
 	return s
@@ -152,8 +159,12 @@
 	state       *upstream
 	promptParts []PromptPart
 	pending     kcrid.Tokens // tokens that this request still adds to the backlog
+	unsure      kcrid.Tokens // of these, those that may be cached
+	ahead       kcrid.Tokens // tokens that were to be read up to its first event
+	uncertain   float64      // share of these that may be cached
 	started     kcrclock.Time
-	trial       bool // the upstream is on trial after a pause
+	firstAt     kcrclock.Time // of its first event, 0 before
+	trial       bool          // the upstream is on trial after a pause
 }
 
 // Choose picks the upstream with the lowest cost and counts the request as in
@@ -163,7 +174,8 @@
 	s := t.getOrCreateService(req.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	preferred := s.preferred(now, req)
+	s.refresh(now)
+	preferred := s.preferred(now, &req)
 	var best *upstream
 	bestCost, bestUncached := math.Inf(1), kcrid.Tokens(0)
 	s.rotation++
@@ -172,7 +184,7 @@
 		if contains(req.Excluded, u.ID) || !s.takes(now, u, &req) {
 			continue
 		}
-		cost, uncached := t.cost(now, s, u, req, u == preferred)
+		cost, uncached := t.cost(now, s, u, &req, u == preferred)
 		if now < u.retryAt {
 			cost += cooldownCost * (1 + float64(u.retryAt.Sub(now)))
 		}
@@ -183,16 +195,36 @@
 	if best == nil {
 		return nil
 	}
-	best.inflight++
-	best.backlog += bestUncached
+	c := &Choice{
+		Upstream: best.Upstream, UncachedTokens: bestUncached, RateLimit: best.rateLimit,
+		ExpectedLatency: kcrclock.Duration(s.firstEvent(now, best, bestUncached)),
+		service:         s, state: best, promptParts: req.PromptParts, started: now, trial: best.beginTrial(),
+	}
+	c.enqueue(&req)
 	if !best.rateLimit.Named {
 		best.recordCached(req.PromptParts)
 	}
-	return &Choice{
-		Upstream: best.Upstream, UncachedTokens: bestUncached, ExpectedLatency: expectedLatency(best, bestUncached), RateLimit: best.rateLimit,
-		service: s, state: best, promptParts: req.PromptParts, pending: bestUncached, started: now,
-		trial: best.beginTrial(),
+	return c
+}
+
+// enqueue counts the request in the load of its upstream.
+func (c *Choice) enqueue(req *Request) {
+	u := c.state
+	u.inflight++
+	c.pending = c.UncachedTokens
+	c.unsure = c.UncachedTokens - min(c.UncachedTokens, req.ownTokens())
+	u.backlog += c.pending
+	u.unsure += c.unsure
+	c.ahead = u.backlog
+	c.uncertain = float64(u.unsure) / float64(max(1, u.backlog))
+}
+
+// ownTokens returns the number of tokens of a prompt that no other request shares.
+func (req *Request) ownTokens() kcrid.Tokens {
+	if len(req.PromptParts) == 0 {
+		return req.PromptTokens
 	}
+	return req.PromptParts[len(req.PromptParts)-1].Tokens
 }
 
 // takes reports whether an upstream may get a request now.
--- a/kernel/kcrplacement/table_test.go
+++ b/kernel/kcrplacement/table_test.go
@@ -182,3 +182,21 @@
 		t.Error("expected the failing upstream to be tried again")
 	}
 }
+
+// BenchmarkChoose measures the choice of one of 50 engines for a request with a prompt.
+func BenchmarkChoose(b *testing.B) {
+	table := kcrplacement.New("z-0", kcrplacement.DefaultWeights())
+	table.Update(0, upstreams(50))
+	requests := make([]kcrplacement.Request, 64)
+	for i := range requests {
+		requests[i] = sessionRequest(uint64(100+i), 900)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now := kcrclock.Time(i)
+		c := table.Choose(now, requests[i%len(requests)])
+		c.ResponseStarted(now + 20)
+		c.Finish(now+20, kcrplacement.Served)
+	}
+}
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -83,7 +83,10 @@
 // placementRequest returns the criteria by which an upstream is chosen. Upstreams of
 // earlier attempts are excluded.
 func (x *exchange) placementRequest() kcrplacement.Request {
-	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes}
+	req := kcrplacement.Request{
+		Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes,
+		Rank: x.rank(), Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
+	}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
 		req.TransferBytes = len(x.body) + streamOverheadBytes
@@ -379,6 +382,9 @@
 	if x.interrupted() && result != kcrplacement.Served {
 		result = kcrplacement.CallerLeft
 	}
+	if result == kcrplacement.Served && a.events > 0 {
+		a.notePace(a.choice.Streamed(now, a.events))
+	}
 	a.choice.Finish(now, result)
 	if result == kcrplacement.Unreachable || result == kcrplacement.Misdirected {
 		g.pool.closeIdle(a.choice.ID, a.choice.Addr)
--- a/router/kcrgateway/crash.go
+++ b/router/kcrgateway/crash.go
@@ -78,7 +78,14 @@
 // responseStarted records that the response has begun to arrive.
 func (a *attempt) responseStarted() {
 	a.silence.Stop()
-	a.choice.ResponseStarted(a.x.gateway.clock.Now())
+	a.notePace(a.choice.ResponseStarted(a.x.gateway.clock.Now()))
+}
+
+// notePace logs a change of an upstream's class of pace.
+func (a *attempt) notePace(class int, changed bool) {
+	if changed {
+		a.x.gateway.logger.Info("pace of upstream", "service", string(a.x.service), "id", string(a.choice.ID), "class", class, "req", a.x.id)
+	}
 }
 
 // probeForCrash probes an upstream whose connection ended before its response did. If it
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -309,16 +309,18 @@
 	maxPriority  = 9
 )
 
-// priority returns the scheduling priority of the request at an engine. The priority of
-// the team takes precedence over that of the route.
-func (x *exchange) priority() int {
-	priority := x.route.Priority
+// rank returns the rank of the request, 0 for first. That of the team takes precedence over that
+// of the route.
+func (x *exchange) rank() int {
 	if x.team != nil && x.team.Priority >= 0 {
-		priority = x.team.Priority
+		return x.team.Priority
 	}
-	return min(maxPriority, basePriority+priorityStep*priority)
+	return x.route.Priority
 }
 
+// priority returns the scheduling priority of the request at an engine.
+func (x *exchange) priority() int { return min(maxPriority, basePriority+priorityStep*x.rank()) }
+
 // removeField removes the fields of a name in place.
 func removeField(fields []kcrhttp.Field, name string) []kcrhttp.Field {
 	kept := fields[:0]
