Placement: memory of engines, and a forecast for admission

Cause: what a router believed cached was bounded only by 4,096 parts, though an engine's memory is in the configuration, and the requests that run there were no part of the cost. Admission needs to know what a request can expect before it is sent.

Change: a router counts its requests and the parts that it has had cached against the memory, and forgets the least recently used parts in two generations; a request larger than the memory goes to no engine. Table.Forecast tells the time to the first event, the places for such requests, and when the next is expected, without side effects.

--- a/kernel/kcrplacement/engine.go
+++ b/kernel/kcrplacement/engine.go
@@ -49,6 +49,7 @@
 	samples   float64
 	meanDelay float64 // ms, average over all engines
 	eventGap  float64 // ms between two events, 0 until one was measured
+	runTime   float64 // ms that a run takes on average, 0 until one was measured
 }
 
 // newLine returns the line of a service that nothing is known of.
@@ -69,6 +70,15 @@
 	l.perToken = clamp(l.perToken*math.Exp(gain*readShare/norm), minPerToken, maxPerToken)
 }
 
+// learnRun adds the time that a run took to the average.
+func (l *line) learnRun(took kcrclock.Duration) {
+	sample := clamp(float64(took), 1, float64(maxFirstEvent))
+	if l.runTime == 0 {
+		l.runTime = sample
+	}
+	l.runTime += paceGain * (sample - l.runTime)
+}
+
 // asymmetric returns a bounded residual with less weight if it is late.
 func asymmetric(residual float64) float64 {
 	residual = clamp(residual, -maxResidual, maxResidual)
--- a/kernel/kcrplacement/engine_test.go
+++ b/kernel/kcrplacement/engine_test.go
@@ -227,3 +227,78 @@
 		t.Errorf("expected about 48000 tokens a second, got %+v", pace)
 	}
 }
+
+// TestPromptsGoWhereMemoryIs checks that new prompts avoid an engine whose memory the requests of
+// this router nearly fill though its slots are free, that a part is no longer counted on once
+// newer ones have filled the memory, and that a request larger than any memory is not placed.
+func TestPromptsGoWhereMemoryIs(t *testing.T) {
+	t.Parallel()
+	table := kcrplacement.New("z-0", kcrplacement.DefaultWeights())
+	list := upstreams(2)
+	for i := range list {
+		list[i].Zone, list[i].Capacity = "z-0", 100000
+	}
+	table.Update(0, list)
+	large := sessionRequest(7, 20000)
+	large.OutputTokens = 4000
+	full := table.Choose(0, large).ID
+	for range 2 {
+		large.Excluded = allExcept(full)
+		table.Choose(0, large).ResponseStarted(300)
+	}
+	for session := range uint64(20) {
+		c := table.Choose(kcrclock.Time(400+100*session), kcrplacement.Request{Service: "llm", PromptTokens: 800, PromptParts: []kcrplacement.PromptPart{{ID: 1000 + session, Tokens: 800}}})
+		if c.ID == full {
+			t.Errorf("request %d: expected an engine other than %s, whose memory is nearly full", session, full)
+		}
+		c.ResponseStarted(kcrclock.Time(430 + 100*session))
+		c.Finish(kcrclock.Time(460+100*session), kcrplacement.Served)
+	}
+	other := allExcept(full)[0]
+	keep := func(session uint64) kcrid.Tokens {
+		req := sessionRequest(session, 100)
+		req.Excluded = []kcrid.VM{full}
+		c := table.Choose(9000, req)
+		c.Finish(9010, kcrplacement.Served)
+		return c.UncachedTokens
+	}
+	first := keep(500)
+	again := keep(500)
+	for session := uint64(600); session < 640; session++ {
+		keep(session)
+	}
+	if late := keep(500); first != 5500 || again != 100 || late <= again {
+		t.Errorf("%s: expected a part to be cached until others filled the memory, got %d, %d and %d tokens to read", other, first, again, late)
+	}
+	if c := table.Choose(10000, sessionRequest(900, 100000)); c != nil {
+		t.Errorf("expected no engine for a request larger than its memory, got %s", c.ID)
+	}
+}
+
+// TestForecast checks that a forecast tells the time to the first event, free slots and when a
+// place is expected, and changes nothing.
+func TestForecast(t *testing.T) {
+	t.Parallel()
+	f := newFleet(1, 1, 1)
+	f.run(10*kcrclock.Second, 30, 20)
+	f.run(3*kcrclock.Second, 0, 20)
+	table, req := f.routers[0], sessionRequest(9999, 4000)
+	free, ok := table.Forecast(f.now, req)
+	if again, _ := table.Forecast(f.now, req); !ok || again != free {
+		t.Fatalf("expected two equal forecasts, got %+v and %+v", free, again)
+	}
+	if free.FirstEvent < 100 || free.FirstEvent > 500 || free.FreeSlots != 2*42 || free.NextFree != 0 {
+		t.Errorf("expected a first event after about 200 ms and 84 free places, got %+v", free)
+	}
+	full := free
+	for i := 0; i < 100 && full.FreeSlots > 0; i++ {
+		table.Choose(f.now, req)
+		full, ok = table.Forecast(f.now, req)
+	}
+	if !ok || full.FreeSlots != 0 || full.NextFree < 1 || full.NextFree > 100 || full.FirstEvent < 2*free.FirstEvent {
+		t.Errorf("expected no free slots and a place within 100 ms, got %+v", full)
+	}
+	if _, ok := table.Forecast(f.now, sessionRequest(1, 500000)); ok {
+		t.Error("expected no forecast for a request larger than any memory")
+	}
+}
--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -51,29 +51,26 @@
 	decayTime = 4 * kcrclock.Second
 	// failureWeight is the weight of the newest result in the failure rate.
 	failureWeight = 0.25
-	// maxCachedParts bounds the parts remembered per upstream; beyond it, all
-	// of them are forgotten.
-	maxCachedParts = 4096
 )
 
 // upstream holds the statistics of one upstream. It is guarded by the lock of its
 // service.
 type upstream struct {
 	Upstream
-	hash        uint64            // of the ID
-	longPool    bool              // belongs to the long-prompt pool
-	inflight    int               // requests of this router
-	backlog     kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
-	retryAt     kcrclock.Time     // end of the cooldown
-	backoff     kcrclock.Duration // last cooldown after a failed connection
-	fails       float64           // failure rate from 0 to 1, as of failsAt
-	failsAt     kcrclock.Time
-	engine      engine              // what was learned of its pace
-	unsure      kcrid.Tokens        // of the backlog, those that may be cached
-	warmAt      kcrclock.Time       // end of the slow time after a start
-	cachedParts map[uint64]struct{} // IDs of the parts that it is assumed to have cached
-	rateLimit   RateLimit           // as it named it last
-	heardAt     atomic.Int64        // when it last sent something, as a kcrclock.Time; 0 for never
+	hash      uint64            // of the ID
+	longPool  bool              // belongs to the long-prompt pool
+	inflight  int               // requests of this router
+	backlog   kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
+	retryAt   kcrclock.Time     // end of the cooldown
+	backoff   kcrclock.Duration // last cooldown after a failed connection
+	fails     float64           // failure rate from 0 to 1, as of failsAt
+	failsAt   kcrclock.Time
+	engine    engine        // what was learned of its pace
+	unsure    kcrid.Tokens  // of the backlog, those that may be cached
+	warmAt    kcrclock.Time // end of the slow time after a start
+	memory    memory        // as far as this router fills it
+	rateLimit RateLimit     // as it named it last
+	heardAt   atomic.Int64  // when it last sent something, as a kcrclock.Time; 0 for never
 
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 	pausedUntil   kcrclock.Time // wants no requests before this time
@@ -87,7 +84,7 @@
 func (u *upstream) uncached(req *Request) kcrid.Tokens {
 	uncached := req.PromptTokens
 	for _, p := range req.PromptParts {
-		if _, ok := u.cachedParts[p.ID]; !ok {
+		if !u.memory.has(p.ID) {
 			break
 		}
 		uncached -= p.Tokens
@@ -98,14 +95,11 @@
 // recordCached notes that the shared parts of a prompt will be cached. A prompt
 // with a single part counts as shared.
 func (u *upstream) recordCached(parts []PromptPart) {
-	if len(u.cachedParts) > maxCachedParts {
-		clear(u.cachedParts)
-	}
 	for i, p := range parts {
 		if i == len(parts)-1 && len(parts) > 1 {
 			break // the last part belongs to this request alone
 		}
-		u.cachedParts[p.ID] = struct{}{}
+		u.memory.record(p, u.Capacity)
 	}
 }
 
@@ -156,10 +150,12 @@
 	u := c.state
 	c.endTrial(now, false)
 	u.inflight--
+	u.memory.running -= c.held
 	c.releaseBacklog()
 	switch r {
 	case Served:
 		u.recordResult(now, 0)
+		c.service.line.learnRun(now.Sub(c.started))
 	case ErrorResponse:
 		u.recordResult(now, 1)
 	case ConnectionLost:
@@ -171,7 +167,7 @@
 	case Unreachable:
 		u.backoff = min(max(minBackoff, 2*u.backoff), maxBackoff)
 		u.avoid(now, u.backoff)
-		clear(u.cachedParts)
+		u.memory.forget()
 	case Stalled:
 		u.recordResult(now, 1)
 		u.avoid(now, stallCooldown)
--- a/kernel/kcrplacement/ranking.go
+++ b/kernel/kcrplacement/ranking.go
@@ -83,7 +83,7 @@
 	if u.Zone != t.zone {
 		cost += w.CrossZoneByte * float64(req.TransferBytes)
 	}
-	utilization := float64(u.inflight) / float64(max(1, u.Slots))
+	utilization := max(float64(u.inflight)/float64(max(1, u.Slots)), u.memory.fill(u.Capacity))
 	cost += w.FullUpstream * utilization * utilization
 	cost += w.FailureRate * u.failureRate(now)
 	if now < u.warmAt {
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -43,6 +43,7 @@
 	defer c.service.mu.Unlock()
 	c.endTrial(until, false)
 	c.state.inflight--
+	c.state.memory.running -= c.held
 	c.releaseBacklog()
 	c.state.withheldUntil = max(c.state.withheldUntil, until)
 }
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -132,7 +132,7 @@
 	for _, u := range upstreams {
 		state := previous[u.ID]
 		if state == nil || state.StartedAt != u.StartedAt || state.Addr != u.Addr {
-			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), cachedParts: map[uint64]struct{}{}}
+			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), memory: newMemory()}
 		}
 		if u.WarmupRemaining > 0 && u.WarmupRemaining != state.WarmupRemaining {
 			state.warmAt = now.Add(u.WarmupRemaining)
@@ -162,6 +162,7 @@
 	unsure      kcrid.Tokens // of these, those that may be cached
 	ahead       kcrid.Tokens // tokens that were to be read up to its first event
 	uncertain   float64      // share of these that may be cached
+	held        kcrid.Tokens // most tokens that the request takes of the memory
 	started     kcrclock.Time
 	firstAt     kcrclock.Time // of its first event, 0 before
 	trial       bool          // the upstream is on trial after a pause
@@ -211,6 +212,8 @@
 func (c *Choice) enqueue(req *Request) {
 	u := c.state
 	u.inflight++
+	c.held = req.PromptTokens + req.OutputTokens
+	u.memory.running += c.held
 	c.pending = c.UncachedTokens
 	c.unsure = c.UncachedTokens - min(c.UncachedTokens, req.ownTokens())
 	u.backlog += c.pending
@@ -232,7 +235,7 @@
 	switch {
 	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.rateLimit.Named:
 		return false
-	case u.isWithheld(now), now < u.pausedUntil, u.triesEnough(now), s.leaves(u.ID, u.StartedAt):
+	case !u.fits(req), u.isWithheld(now), now < u.pausedUntil, u.triesEnough(now), s.leaves(u.ID, u.StartedAt):
 		return false
 	}
 	return true
--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -152,9 +152,14 @@
 }
 
 // HasEngines reports whether the upstreams of a service are model engines.
-func (r *Rules) HasEngines(name kcrid.Service) bool {
-	s := r.Services[name]
-	return s != nil && s.KVCapacity > 0
+func (r *Rules) HasEngines(name kcrid.Service) bool { return r.KVCapacity(name) > 0 }
+
+// KVCapacity returns the memory of an engine of a service, 0 if its requests have no tokens.
+func (r *Rules) KVCapacity(name kcrid.Service) kcrid.Tokens {
+	if s := r.Services[name]; s != nil {
+		return s.KVCapacity
+	}
+	return 0
 }
 
 // TeamByKey returns the team that owns an API key, nil if there is none.
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -88,7 +88,7 @@
 		Rank: x.rank(), Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
 	}
 	if x.usage.declared {
-		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
+		req.PromptParts, req.PromptTokens, req.OutputTokens = x.usage.promptParts, x.usage.prompt, x.usage.output
 		req.TransferBytes = len(x.body) + streamOverheadBytes
 	}
 	for _, record := range x.attempts {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -328,9 +328,13 @@
 			}
 			continue
 		}
-		upstreams = append(upstreams, kcrplacement.Upstream{
+		u := kcrplacement.Upstream{
 			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold,
-		})
+		}
+		if rules != nil {
+			u.Capacity = rules.KVCapacity(m.Service)
+		}
+		upstreams = append(upstreams, u)
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
 			beside[m.ID] = m.Home
@@ -426,7 +430,7 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans)
+	c.Metrics.MustRegister(n.loans, &paceCollector{paces: n.table.Paces})
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
