Placement: an engine's silence counts as its delay

Cause: the delay of an engine was learned from first events only, so one that answers nothing went on getting requests until a timeout or until its backlog outweighed the rest.

Change: as long as requests wait at an engine for their first event, the time since its last one, less what its backlog needs, is its delay at least. Lateness and delay weigh more.

--- a/kernel/kcrplacement/engine.go
+++ b/kernel/kcrplacement/engine.go
@@ -97,6 +97,9 @@
 	delay     float64 // ms, by requests of other routers or a passing fault, as of delayAt
 	delayAt   kcrclock.Time
 	class     int // of pace, see class.go
+
+	awaited int           // requests without a first event
+	movedAt kcrclock.Time // last first event, or when the first of the awaited requests was sent
 }
 
 // slow returns the factor by which the engine takes longer than the line of its service.
@@ -145,9 +148,35 @@
 	return e.delay * math.Exp(-max(0, now.Sub(e.delayAt).Seconds())/delayExpiry)
 }
 
+// await records that a request was sent.
+func (e *engine) await(now kcrclock.Time) {
+	if e.awaited == 0 {
+		e.movedAt = now
+	}
+	e.awaited++
+}
+
+// answered records that a request got its first event, or ended without one.
+func (e *engine) answered(now kcrclock.Time) {
+	e.awaited--
+	e.movedAt = max(e.movedAt, now)
+}
+
+// otherDelay returns the time in ms by which a first event of an upstream is expected to come late
+// compared with the others of the service: as it did of late, or as long as the upstream has been
+// silent beyond the time that it needs for its backlog.
+func (s *service) otherDelay(now kcrclock.Time, u *upstream) float64 {
+	delay := u.engine.delayed(now)
+	if u.engine.awaited > 0 {
+		silent := float64(now.Sub(u.engine.movedAt)) - s.line.at(u.backlog)*u.engine.slow()
+		delay = max(delay, min(silent, maxDelay))
+	}
+	return max(0, delay-s.line.meanDelay)
+}
+
 // firstEvent returns the expected time in ms to the first event of a request at an upstream.
 func (s *service) firstEvent(now kcrclock.Time, u *upstream, uncached kcrid.Tokens) float64 {
-	return s.line.at(u.backlog+uncached)*u.engine.slow() + max(0, u.engine.delayed(now)-s.line.meanDelay)
+	return s.line.at(u.backlog+uncached)*u.engine.slow() + s.otherDelay(now, u)
 }
 
 // learnFirstEvent learns from the time that the first event of a request took. It reports whether
--- a/kernel/kcrplacement/engine_test.go
+++ b/kernel/kcrplacement/engine_test.go
@@ -20,6 +20,7 @@
 	noise   float64 // share of requests whose reading takes 2.5 times as long
 	readEnd float64 // ms, when it has read all that it got
 	running int
+	chosen  int
 	served  int
 	cached  map[uint64]bool
 }
@@ -97,6 +98,7 @@
 	}
 	e.readEnd = max(e.readEnd, float64(f.now)) + reading/e.speed
 	e.running++
+	e.chosen++
 	first := kcrclock.Time(e.readEnd + fakeBase/e.speed)
 	f.total++
 	if first.Sub(f.now) > req.Target {
@@ -207,6 +209,23 @@
 	}
 }
 
+// TestSilentEngineIsAvoided checks that an engine that answers nothing more gets few requests,
+// though none of those that it has got has ended.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	t.Parallel()
+	f := newFleet(4, 1, 1, 1, 1, 1, 1)
+	f.run(10*kcrclock.Second, 100, 60)
+	silent := f.engines["e-3"]
+	silent.readEnd = 1e9
+	before, total := silent.chosen, f.total
+	f.run(4*kcrclock.Second, 100, 60)
+	got := silent.chosen - before
+	t.Logf("%d of %d", got, f.total-total)
+	if got*20 > f.total-total {
+		t.Errorf("expected a silent engine to get at most 1 in 20 requests, got %d of %d", got, f.total-total)
+	}
+}
+
 // TestAbsurdSamplesAreBounded checks that answers of a machine that stood still, and of a clock that
 // went back, leave the figures within reason, and that good samples mend them.
 func TestAbsurdSamplesAreBounded(t *testing.T) {
--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -128,13 +128,21 @@
 	defer c.service.mu.Unlock()
 	c.endTrial(now, true)
 	c.releaseBacklog()
+	c.answered(now)
 	c.state.backoff = 0
 	c.state.retryAt = min(c.state.retryAt, now)
-	c.firstAt = now
 	changed = c.learnFirstEvent(now)
 	return c.state.engine.class, changed
 }
 
+// answered records the first event of the request, or its end without one.
+func (c *Choice) answered(now kcrclock.Time) {
+	if c.firstAt == 0 {
+		c.firstAt = max(1, now)
+		c.state.engine.answered(now)
+	}
+}
+
 // releaseBacklog takes the tokens of the request out of the backlog of its upstream.
 func (c *Choice) releaseBacklog() {
 	c.state.backlog -= c.pending
@@ -151,6 +159,7 @@
 	c.endTrial(now, false)
 	u.inflight--
 	u.memory.running -= c.held
+	c.answered(now)
 	c.releaseBacklog()
 	switch r {
 	case Served:
--- a/kernel/kcrplacement/ranking.go
+++ b/kernel/kcrplacement/ranking.go
@@ -29,7 +29,7 @@
 // DefaultWeights returns weights derived from what users pay for prompt tokens
 // and for bytes between zones, and from the speed at which engines read prompts.
 func DefaultWeights() Weights {
-	return Weights{CrossZoneByte: 0.015, FullUpstream: 4000, BacklogToken: 0.5, FailureRate: 6000, ExcessLatency: 400, Delay: 0.1, Late: 2500, PreferredCached: 0.9, DelayedStream: 1000, WrongPool: 2500}
+	return Weights{CrossZoneByte: 0.015, FullUpstream: 4000, BacklogToken: 0.5, FailureRate: 6000, ExcessLatency: 400, Delay: 0.25, Late: 5000, PreferredCached: 0.9, DelayedStream: 1000, WrongPool: 2500}
 }
 
 // tieMargin is the cost difference below which two upstreams count as equal, so
@@ -103,7 +103,7 @@
 // waitingCost estimates the cost of the time to the first event, apart from the tokens to read. It
 // is bounded, since a request that goes where nothing of its prompt is cached makes others late.
 func (t *Table) waitingCost(now kcrclock.Time, s *service, u *upstream, req *Request, uncached kcrid.Tokens) (cost float64) {
-	delay := max(0, u.engine.delayed(now)-s.line.meanDelay)
+	delay := s.otherDelay(now, u)
 	cost = t.weights.Delay * min(delay+s.line.base*u.engine.slow(), maxWaiting) / s.line.perToken
 	if req.Target > 0 {
 		first := s.line.at(u.backlog+uncached)*u.engine.slow() + delay
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -44,6 +44,7 @@
 	c.endTrial(until, false)
 	c.state.inflight--
 	c.state.memory.running -= c.held
+	c.answered(c.started)
 	c.releaseBacklog()
 	c.state.withheldUntil = max(c.state.withheldUntil, until)
 }
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -212,6 +212,7 @@
 func (c *Choice) enqueue(req *Request) {
 	u := c.state
 	u.inflight++
+	u.engine.await(c.started)
 	c.held = req.PromptTokens + req.OutputTokens
 	u.memory.running += c.held
 	c.pending = c.UncachedTokens
