--- a/kernel/kcrplacement/cold.go
+++ b/kernel/kcrplacement/cold.go
@@ -9,7 +9,8 @@
 
 // This file defines when an upstream counts as cold, and the rate limit that it then has.
 // Invariants: an upstream is cold for as long as its entry or a response of it says, and for the
-// time that its service names after its start is learned or it is reached again after a failure;
+// time that its service names after its start is learned, its zone is emptied no more, or it is
+// reached again after a failure;
 // nothing makes that time shorter. A request on a connection that was open before such a failure
 // can't reach a process that has started since, so only new connections count, and what comes on
 // an old one shows that the upstream has not ended. The first list of
@@ -28,8 +29,9 @@
 		u.warmAt = now.Add(said.WarmupRemaining)
 		u.staysCold(now, said.WarmupRemaining)
 	}
+	returned := u.Emptied && !said.Emptied
 	u.Upstream = said
-	if started && u.isLimitedWhileCold() {
+	if (started || returned) && u.isLimitedWhileCold() {
 		u.staysCold(now, u.Cold.Start)
 	}
 }
--- a/router/kcrgateway/admission_test.go
+++ b/router/kcrgateway/admission_test.go
@@ -37,7 +37,9 @@
 	u := newLimitedUpstream(t, "u", &rate)
 	gw := newTestGateway(t, u)
 	var places atomic.Int64
-	gw.takePermit.Store(func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration) { return places.Add(-1) >= 0, 10 })
+	gw.takePermit.Store(func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration) {
+		return places.Add(-1) >= 0, 10
+	})
 	sendAll(t, gw, 1)
 	const patient = 5
 	statuses := make(chan int, patient+1)
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -86,9 +86,12 @@
 // earlier attempts are excluded. Only a first attempt that may wait for another upstream leaves out
 // those that are full.
 func (x *exchange) placementRequest() kcrplacement.Request {
-	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes}
+	req := kcrplacement.Request{
+		Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes,
+		Rank: x.rank(), Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
+	}
 	if x.usage.declared {
-		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
+		req.PromptParts, req.PromptTokens, req.OutputTokens = x.usage.promptParts, x.usage.prompt, x.usage.output
 		req.TransferBytes = len(x.body) + streamOverheadBytes
 	}
 	req.SkipsFull = len(x.attempts) == 0 && x.version == ""
@@ -337,6 +340,9 @@
 	if x.interrupted() && result != kcrplacement.Served {
 		result = kcrplacement.CallerLeft
 	}
+	if result == kcrplacement.Served && a.events > 0 {
+		a.notePace(a.choice.Streamed(now, a.events))
+	}
 	a.choice.Finish(now, result)
 	if result == kcrplacement.Unreachable || result == kcrplacement.Misdirected {
 		g.pool.closeIdle(a.choice.ID, a.choice.Addr)
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -349,6 +349,7 @@
 			ID: m.ID, Service: m.Service, Addr: m.Addr, Zone: m.Zone, Version: m.Version, Slots: m.Slots, StartedAt: m.Born, WarmupRemaining: m.Cold, EntrySequence: m.Sequence, Emptied: isEmptied,
 		}
 		if rules != nil {
+			upstream.Capacity = rules.KVCapacity(m.Service)
 			upstream.Cold = n.coldBounds.limit(rules.Services[m.Service])
 		}
 		upstreams = append(upstreams, upstream)
@@ -448,7 +449,7 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans, n.pendingRefusals)
+	c.Metrics.MustRegister(n.loans, n.pendingRefusals, &paceCollector{paces: n.table.Paces})
 	gauge("kcr_escrow_waiting_requests", "Requests that wait for escrow.", func() (sum float64) {
 		for _, b := range n.buckets {
 			sum += float64(b.queue.Len())
