Budget records outlive any stop; a deleted record tells nothing of the end

Cause: the store's 410 names the oldest record it holds.

Where a reader stands is told in one place, link/kcrdaemon/standing.go.

--- a/kernel/kcrid/id.go
+++ b/kernel/kcrid/id.go
@@ -79,7 +79,16 @@
 
 // BudgetStream returns the stream of the budget records of a bucket.
 func BudgetStream(b Bucket) Stream {
-	return Stream("budget-" + strconv.FormatUint(uint64(b), 10))
+	return Stream(budgetPrefix + strconv.FormatUint(uint64(b), 10))
+}
+
+// budgetPrefix starts the names of budget streams.
+const budgetPrefix = "budget-"
+
+// KeepsRecords reports whether each record of a stream is needed until a snapshot covers it, however
+// long no process runs.
+func KeepsRecords(s Stream) bool {
+	return strings.HasPrefix(string(s), budgetPrefix) && !strings.HasSuffix(string(s), snapshotSuffix)
 }
 
 // BillStream returns the stream of the statement lines of a bucket.
@@ -105,7 +114,9 @@
 
 // SnapshotStream returns the stream of the snapshots of the state that results from
 // stream s.
-func SnapshotStream(s Stream) Stream { return s + ".snap" }
+func SnapshotStream(s Stream) Stream { return s + snapshotSuffix }
+
+const snapshotSuffix = ".snap"
 
 // HashContent returns the hash of the path and body of a request.
 func HashContent(path string, body []byte) ContentHash {
--- a/kernel/kcrlog/log.go
+++ b/kernel/kcrlog/log.go
@@ -22,7 +22,7 @@
 // MaxRecordBytes is the maximum size of a record, in bytes.
 const MaxRecordBytes = 1 << 20
 
-// Record is an encoded entry at its offset in a stream.
+// Record is an encoded entry at its offset in a stream. Without data it is none, and readers skip it.
 type Record struct {
 	Offset kcrid.Offset
 	Data   []byte
@@ -43,10 +43,18 @@
 // Log gives access to the platform's log. Append may take effect although it
 // returns an error. Read waits up to wait until a record at offset from exists. If
 // the log has deleted that record after its retention time, Read returns an empty
-// page whose FirstOffset is greater than from.
+// page whose FirstOffset is greater than from; NextOffset is not below the end then.
+//
+// Kept and Release are nil for a log that cannot keep records beyond its retention time. The others
+// keep those of the streams of kcrid.KeepsRecords. Kept returns all that the log has before
+// NextOffset and that no Release has named, in order, and ok false for another stream. Release names the records up to an
+// offset: a snapshot that the log has acknowledged covers them. So whoever calls Kept, and reads the
+// snapshots after that, has the whole stream up to NextOffset.
 type Log struct {
-	Append func(ctx context.Context, s kcrid.Stream, records [][]byte) error
-	Read   func(ctx context.Context, s kcrid.Stream, from kcrid.Offset, wait kcrclock.Duration) (Page, error)
+	Append  func(ctx context.Context, s kcrid.Stream, records [][]byte) error
+	Read    func(ctx context.Context, s kcrid.Stream, from kcrid.Offset, wait kcrclock.Duration) (Page, error)
+	Kept    func(ctx context.Context, s kcrid.Stream) (page Page, ok bool, err error)
+	Release func(ctx context.Context, s kcrid.Stream, upTo kcrid.Offset) error
 }
 
 // DecodeEntry decodes a record. It returns an error for a record that is not an entry;
--- a/link/kcrdaemon/follower.go
+++ b/link/kcrdaemon/follower.go
@@ -6,14 +6,11 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"google.golang.org/protobuf/proto"
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
@@ -22,11 +19,10 @@
 )
 
 // This file defines the follower, which applies the records of a stream to a state,
-// appends the records that the state produces, and writes snapshots. Invariants:
-// records are applied in order and none is left out; if the log has deleted the next
-// record after its retention time and no snapshot covers it, nothing is applied; an
+// and appends the records that the state produces. Invariants:
+// records are applied in order and none is left out; an
 // append is repeated only with the same bytes, so that the state ignores the copies; records
-// of two eras of the log are never mixed.
+// of two eras of the log are never mixed. Where a state stands in its stream, standing.go tells.
 
 // StateMachine is a state that is computed from the records of a stream, as functions
 // that a follower calls. Batch, Snapshot, MarkReady and ReadDelay may be nil,
@@ -207,41 +203,27 @@
 	return false
 }
 
-// applyPage applies the records of a page, read from an offset, that follow the state. A
-// record that is not an entry is skipped, as every reader must do. It returns false if the
-// log has deleted the next record and the state can't be restored.
+// applyPage applies the records of a page, read from an offset, that follow the state. It returns
+// false if the state can't be continued for now.
 func (f *Follower) applyPage(ctx context.Context, from kcrid.Offset, page kcrlog.Page) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	if !f.beginEra(page.Era) || from > f.next {
 		return true
 	}
-	if page.NextOffset < f.next {
-		f.logger.Warn("the log ends before the next record", "stream", f.stream, "next", f.next, "end", page.NextOffset)
+	switch f.standing(from, page) {
+	case outdated:
 		return true
-	}
-	if page.FirstOffset > f.next && f.machine.AllowsGaps {
-		if !f.bridgeGap(ctx) {
-			return false
-		}
-		f.next = page.FirstOffset
-	}
-	if page.FirstOffset > f.next && !f.restore(ctx, page.FirstOffset, page.NextOffset) {
-		f.logger.Error("state cannot be restored: the log has deleted records that no snapshot covers", "stream", f.stream, "need", f.next, "first", page.FirstOffset)
+	case beyondEnd:
+		f.logger.Warn("the log ends before the next record", "stream", f.stream, "next", f.next, "end", page.NextOffset)
 		return false
-	}
-	for _, r := range page.Records {
-		if r.Offset != f.next {
-			continue
-		}
-		f.next++
-		e, err := kcrlog.DecodeEntry(r.Data)
-		if err != nil {
-			f.logger.Warn("record skipped", "stream", f.stream, "offset", r.Offset, "err", err)
-			continue
+	case behindFirst:
+		if !f.crossGap(ctx, page) {
+			return false
 		}
-		f.machine.Apply(r.Offset, e)
+	case continued:
 	}
+	f.applyRecords(page.Records)
 	if f.next >= page.NextOffset {
 		f.endReachedAt.Store(int64(f.clock.Now()))
 		if f.machine.MarkReady != nil {
@@ -251,95 +233,29 @@
 	return true
 }
 
-// restore restores the newest snapshot after which the log still holds all records;
-// first is the offset of the oldest one, and end that of the next. It tells whether the state
-// can be continued from there. A snapshot from beyond the end is of records that the log has
-// lost.
-func (f *Follower) restore(ctx context.Context, first, end kcrid.Offset) bool {
-	snapshotStream := kcrid.SnapshotStream(f.stream)
-	for at, state := range ReadSnapshots(ctx, f.log, snapshotStream) {
-		if at+1 < first || at >= end {
-			continue
-		}
-		if _, err := f.machine.Restore(state); err != nil {
-			f.logger.Warn("snapshot skipped", "stream", snapshotStream, "at", at, "err", err)
+// applyRecords applies the records that follow the state. One that is not an entry is skipped, as every
+// reader must do.
+func (f *Follower) applyRecords(records []kcrlog.Record) {
+	for _, r := range records {
+		if r.Offset != f.next {
 			continue
 		}
+		f.next++
+		f.applyRecord(r)
 	}
-	if at := f.machine.Offset(); at+1 >= first {
-		f.next = max(f.next, at+1)
-		return true
-	}
-	return false
 }
 
-// bridgeGap adds what the newest snapshot holds to a state that allows gaps, in place of the
-// records that the log has deleted. It returns false if the snapshots can't be read.
-func (f *Follower) bridgeGap(ctx context.Context) bool {
-	if f.machine.Restore == nil {
-		return true
+// applyRecord applies a record, unless it is none.
+func (f *Follower) applyRecord(r kcrlog.Record) {
+	if len(r.Data) == 0 {
+		return
 	}
-	snapshotStream := kcrid.SnapshotStream(f.stream)
-	snapshots, err := readSnapshots(ctx, f.log, snapshotStream)
+	e, err := kcrlog.DecodeEntry(r.Data)
 	if err != nil {
-		f.logger.Warn("snapshots not read", "stream", snapshotStream, "err", err)
-		return false
-	}
-	if len(snapshots) == 0 {
-		return true
-	}
-	newest := slices.Max(slices.Collect(maps.Keys(snapshots)))
-	if _, err := f.machine.Restore(snapshots[newest]); err != nil {
-		f.logger.Warn("snapshot skipped", "stream", snapshotStream, "at", newest, "err", err)
-	}
-	return true
-}
-
-// ReadSnapshots returns the complete snapshots on a snapshot stream: the encoded states
-// by the offset of the last record in them. After a read error it returns those that
-// it has read before.
-func ReadSnapshots(ctx context.Context, log kcrlog.Log, snapshotStream kcrid.Stream) map[kcrid.Offset][]byte {
-	snapshots, _ := readSnapshots(ctx, log, snapshotStream) // those that were read are of use
-	return snapshots
-}
-
-// readSnapshots is ReadSnapshots, and returns the read error.
-func readSnapshots(ctx context.Context, log kcrlog.Log, snapshotStream kcrid.Stream) (snapshots map[kcrid.Offset][]byte, err error) {
-	snapshots = map[kcrid.Offset][]byte{}
-	type snapshotKey struct {
-		writer string
-		at     uint64
-	}
-	parts := map[snapshotKey][][]byte{}
-	for from := kcrid.Offset(1); ; {
-		page, err := log.Read(ctx, snapshotStream, from, 0)
-		if err != nil || len(page.Records) == 0 && page.FirstOffset <= from {
-			return snapshots, err
-		}
-		from = max(from, page.FirstOffset)
-		for _, r := range page.Records {
-			from = r.Offset + 1
-			e, err := kcrlog.DecodeEntry(r.Data)
-			snap := e.GetSnap()
-			if err != nil || snap == nil {
-				continue
-			}
-			key := snapshotKey{e.GetWriter(), snap.GetAt()}
-			if int(snap.GetPart()) == len(parts[key]) {
-				parts[key] = append(parts[key], snap.GetState())
-			}
-			if len(parts[key]) == int(snap.GetParts()) {
-				snapshots[kcrid.Offset(snap.GetAt())] = concatenate(parts[key])
-			}
-		}
-	}
-}
-
-func concatenate(parts [][]byte) (data []byte) {
-	for _, p := range parts {
-		data = append(data, p...)
+		f.logger.Warn("record skipped", "stream", f.stream, "offset", r.Offset, "err", err)
+		return
 	}
-	return data
+	f.machine.Apply(r.Offset, e)
 }
 
 // writeLoop appends the records of the state and writes snapshots until the context is
@@ -441,57 +357,3 @@
 	}
 	f.applyPage(ctx, from, page)
 }
-
-// isSnapshotDue tells whether to write a snapshot: after snapshotRecords records, after
-// snapshotInterval if any record was applied, and after a longer time in any case,
-// since the log deletes snapshots after its retention time as well.
-func (f *Follower) isSnapshotDue() bool {
-	at, age := f.machine.Offset(), time.Since(f.snapshotTime)
-	f.snapshotOffset = min(f.snapshotOffset, at) // the state is read again in a new era of the log
-	switch {
-	case f.machine.Snapshot == nil || at == 0 || !f.machine.IsSnapshotWriter():
-		return false
-	case at >= f.snapshotOffset+snapshotRecords, age >= idleSnapshotFactor*f.snapshotInterval:
-		return true
-	default:
-		return at > f.snapshotOffset && age >= f.snapshotInterval
-	}
-}
-
-func (f *Follower) writeSnapshotIfDue(ctx context.Context) {
-	if f.isSnapshotDue() {
-		f.WriteSnapshot(ctx)
-	}
-}
-
-// WriteSnapshot writes a snapshot now. It is not safe for concurrent use with the
-// follower's goroutines, so others may call it only after Close.
-func (f *Follower) WriteSnapshot(ctx context.Context) {
-	at, state, err := f.machine.Snapshot()
-	if err != nil {
-		f.logger.Error("snapshot failed", "stream", f.stream, "err", err)
-		return
-	}
-	f.snapshotOffset, f.snapshotTime = at, time.Now()
-	if err := WriteSnapshot(ctx, f.log, f.stream, at, state); err != nil {
-		f.logger.Warn("snapshot not written", "stream", f.stream, "err", err)
-	}
-}
-
-// WriteSnapshot appends the encoded state of a stream as of an offset to the stream of
-// its snapshots, in parts of at most snapshotPartSize.
-func WriteSnapshot(ctx context.Context, log kcrlog.Log, stream kcrid.Stream, at kcrid.Offset, state []byte) error {
-	var records [][]byte
-	count := (len(state) + snapshotPartSize - 1) / snapshotPartSize
-	for i := range count {
-		part := state[i*snapshotPartSize : min(len(state), (i+1)*snapshotPartSize)]
-		data, err := proto.Marshal(&kcrentry.Entry{Kind: &kcrentry.Entry_Snap{Snap: &kcrentry.Snap{
-			At: uint64(at), Part: uint32(i), Parts: uint32(count), State: part,
-		}}})
-		if err != nil {
-			return err
-		}
-		records = append(records, data)
-	}
-	return log.Append(ctx, kcrid.SnapshotStream(stream), records)
-}
