Tests: crowds of clients that the operators do not control

They check that the process lives, that resident memory and what its sockets hold stay under the machine's memory, that 32 descriptors stay free, that a refusal which promises that a request never runs is true, and that an ordinary request is answered. Crowds: 96 clients with bodies of 1 MiB or with streams, 400 that send no whole request, 24 peers with eight calls each, 200 slow readers.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Tests that fail for a known fault that is not mended yet.
 KNOWN_RED := $(shell sed -n 's/^skip: *//p' KNOWN-RED.txt | paste -sd '|')
 
-.PHONY: build demo test lint proof measure generate gopls
+.PHONY: build demo test crowd lint proof measure generate gopls
 
 build:
 	@mkdir -p build
@@ -20,9 +20,15 @@
 
 test: lint
 	@for m in $(MODULES); do echo "== $$m"; (cd $$m && go test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...) || exit 1; done
+	@$(MAKE) --no-print-directory crowd
+
+# Tests that measure processes under hostile clients: one at a time, and never from the cache,
+# which does not know that they depend on the program that they build.
+crowd:
+	@echo "== crowd"; cd crowd && go test -race -count=1 -p 1 -parallel 1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 lint: $(LINT)
-	@for m in $(MODULES); do (cd $$m && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES) crowd; do (cd $$m && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
 
 $(LINT):
 	@mkdir -p bin
