Kernel: an account of what a process holds for its connections

The account counts connections, heads in progress, and bytes of four kinds with a share each: bodies of requests, buffered answers, unread responses, messages of other processes. Bytes are reserved as they come. Where a share is used up, those with little progress for their bytes lose their places to one that has more; where connections are used up, the silent, then those with a head in progress, then idle ones do. A quarter of a share is kept for short bodies.

Weighed: the progress for each byte held as the only measure. A new body always has more than one that is nearly complete, so nobody would end; progress counts for 256 KiB at most, and a fair one keeps its place.

--- a/kernel/kcrid/id.go
+++ b/kernel/kcrid/id.go
@@ -107,12 +107,14 @@
 // stream s.
 func SnapshotStream(s Stream) Stream { return s + ".snap" }
 
-// HashContent returns the hash of the path and body of a request.
-func HashContent(path string, body []byte) ContentHash {
+// HashContent returns the hash of the path and body of a request. The body may come in parts.
+func HashContent(path string, body ...[]byte) ContentHash {
 	h := xxhash.New()
 	_, _ = h.WriteString(path)
 	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return ContentHash(h.Sum64())
 }
 
--- /dev/null
+++ b/kernel/kcrmemory/account.go
@@ -0,0 +1,354 @@
+// Package kcrmemory decides who may hold memory and connections of a process, and who loses its
+// place when they are used up. It frees nothing itself: it names the losers, and whoever serves
+// them ends them.
+package kcrmemory
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"kingcuprun.example/kernel/kcrclock"
+)
+
+// This file defines Account. Invariants: the bytes of a kind never exceed its limit; only what has
+// come is reserved, not what is announced; a holder that is served keeps its place; a loser's
+// bytes count until it returns them.
+
+// Kind is what bytes are held for.
+type Kind int
+
+// The kinds of bytes. Each has a limit of its own, so that none takes all.
+const (
+	Bodies   Kind = iota // bodies of requests, while they are read and until their response
+	Answers              // bodies of responses that are buffered
+	Streams              // responses that their callers read slowly
+	Messages             // messages of other processes that are not complete
+	kindCount
+)
+
+// String returns the name of the kind for logs and metrics.
+func (k Kind) String() string {
+	return [kindCount]string{"bodies", "answers", "streams", "messages"}[k]
+}
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Bodies, Answers, Streams, Messages} }
+
+// Stage is what a connection is doing. Where a place is needed, connections lose theirs in this
+// order.
+type Stage int
+
+// The stages of a connection.
+const (
+	Silent   Stage = iota // it has sent nothing yet, or nothing more is read from it
+	Starting              // the head of its request is not complete
+	Idle                  // between two requests
+	Sending               // the body of its request is not complete
+	Behind                // it does not read what it asked for
+	Served                // it keeps its place
+	stageCount
+)
+
+// String returns the name of the stage for logs and metrics.
+func (s Stage) String() string {
+	return [stageCount]string{"silent", "starting", "idle", "sending", "behind", "served"}[s]
+}
+
+// Limits bound what the holders of an account have together.
+type Limits struct {
+	Connections int              // open connections
+	Heads       int              // connections whose stage is Starting
+	Bytes       [kindCount]int64 // by kind
+}
+
+// most returns the most connections with those that have lost their places and are being closed.
+func (l *Limits) most() int { return l.Connections + 1 + l.Connections/leavingDivisor }
+
+const (
+	// leavingDivisor is the part of the connections that may be closing beside the others.
+	leavingDivisor = 16
+	// smallHolder is up to how many bytes of a kind a holder may use the reserve of the kind.
+	smallHolder = 64 << 10
+	// reserveDivisor is the part of a limit that is reserved for small holders.
+	reserveDivisor = 4
+	// progressHalfLife is the time in which progress loses half of its value.
+	progressHalfLife = 500 * kcrclock.Millisecond
+	// measuredBytes is up to how many bytes progress is expected for what is held.
+	measuredBytes = 256 << 10
+	// fairRatio is the progress, as a part of the measured bytes, from which on a connection keeps
+	// its place.
+	fairRatio = 0.25
+	// freshPeriod is how long a connection that enters a stage has time to make use of it.
+	freshPeriod = 100 * kcrclock.Millisecond
+	// batchDivisor is the part of the connections that lose their places at once.
+	batchDivisor = 64
+)
+
+// Account counts what the connections of a process hold. It is safe for concurrent use.
+type Account struct {
+	limits Limits
+
+	mu      sync.Mutex
+	holders map[*Holder]bool
+	stages  [stageCount]int // holders by stage
+	lost    int             // losers that are not removed yet
+	bytes   [kindCount]int64
+}
+
+// Holder is a connection and what is held for it.
+type Holder struct {
+	end   func(Stage)
+	isOut atomic.Bool // it has lost its place, or was removed
+
+	// Protected by Account.mu.
+	stage    Stage
+	since    kcrclock.Time // when the stage began
+	bytes    [kindCount]int64
+	progress float64 // bytes that came, less with time
+	at       kcrclock.Time
+}
+
+// New returns an account without holders.
+func New(limits Limits) *Account { return &Account{limits: limits, holders: map[*Holder]bool{}} }
+
+// End ends a holder that has lost its place.
+func (h *Holder) End() { h.end(h.stage) }
+
+// Lost reports whether the holder has lost its place, or was removed.
+func (h *Holder) Lost() bool { return h.isOut.Load() }
+
+// Open adds a connection. Its end is called, with its stage, when it has lost its place. The
+// caller must call End of the losers. The holder is nil if no place is left.
+func (a *Account) Open(now kcrclock.Time, end func(Stage)) (h *Holder, losers []*Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.holders)-a.lost >= a.limits.Connections {
+		losers = a.takePlaces(now, 1+a.limits.Connections/batchDivisor, func(h *Holder) bool { return h.stage < Sending || h.stage < Served && h.ratio(now) < fairRatio })
+	}
+	if len(a.holders)-a.lost >= a.limits.Connections || len(a.holders) >= a.limits.most() {
+		return nil, losers
+	}
+	h = &Holder{end: end, since: now, at: now}
+	a.holders[h] = true
+	a.stages[Silent]++
+	return h, losers
+}
+
+// Remove removes a closed connection with all that was held for it.
+func (a *Account) Remove(h *Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.holders[h] {
+		return
+	}
+	delete(a.holders, h)
+	a.stages[h.stage]--
+	if h.isOut.Swap(true) {
+		a.lost--
+	}
+	for kind, n := range h.bytes {
+		a.bytes[kind] -= n
+	}
+}
+
+// SetStage sets the stage of a connection. It reports whether the connection still has its place.
+// The caller must call End of the losers.
+func (a *Account) SetStage(now kcrclock.Time, h *Holder, stage Stage) (ok bool, losers []*Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.Lost() {
+		return false, nil
+	}
+	a.stages[h.stage]--
+	h.stage, h.since = stage, now
+	a.stages[stage]++
+	if stage == Starting && a.stages[Starting] > a.limits.Heads {
+		losers = a.takePlaces(now, 1, func(other *Holder) bool { return other.stage == Starting && other != h })
+	}
+	return true, losers
+}
+
+// Progress records that n bytes have come from a connection, or went to it.
+func (a *Account) Progress(now kcrclock.Time, h *Holder, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.progress, h.at = min(h.decayed(now)+float64(n), 2*measuredBytes), now
+}
+
+// Outcome is the outcome of a reservation.
+type Outcome int
+
+// The outcomes of a reservation.
+const (
+	Granted Outcome = iota
+	Wait            // those that lost their place are returning their bytes: try again
+	Refused
+)
+
+// Grow reserves n more bytes of a kind for a connection. If there is no room, those with little
+// progress for their bytes, and less than this one, lose their places, and the caller must call
+// their End.
+func (a *Account) Grow(now kcrclock.Time, h *Holder, kind Kind, n int) (outcome Outcome, losers []*Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := a.limits.Bytes[kind]
+	if h.bytes[kind]+int64(n) > smallHolder {
+		limit -= limit / reserveDivisor
+	}
+	missing := a.bytes[kind] + int64(n) - limit
+	switch {
+	case h.Lost():
+		return Refused, nil
+	case missing <= 0:
+		h.bytes[kind] += int64(n)
+		a.bytes[kind] += int64(n)
+		return Granted, nil
+	}
+	return a.makeRoom(now, h, kind, missing)
+}
+
+// makeRoom takes the places of connections until missing bytes of a kind will be returned.
+func (a *Account) makeRoom(now kcrclock.Time, h *Holder, kind Kind, missing int64) (outcome Outcome, losers []*Holder) {
+	most := min(h.ratio(now), fairRatio)
+	var candidates []*Holder
+	for other := range a.holders {
+		switch {
+		case other.Lost():
+			missing -= other.bytes[kind]
+		case other != h && other.stage < Served && other.bytes[kind] > 0 && other.ratio(now) < most:
+			candidates = append(candidates, other)
+		}
+	}
+	slices.SortFunc(candidates, func(x, y *Holder) int { return compare(x.ratio(now), y.ratio(now)) })
+	for _, other := range candidates {
+		if missing <= 0 {
+			break
+		}
+		missing -= other.bytes[kind]
+		losers = append(losers, other)
+	}
+	if missing > 0 {
+		return Refused, nil
+	}
+	for _, loser := range losers {
+		a.lose(loser)
+	}
+	return Wait, losers
+}
+
+// Shrink returns n bytes of a kind.
+func (a *Account) Shrink(h *Holder, kind Kind, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.holders[h] {
+		return
+	}
+	h.bytes[kind] -= int64(n)
+	a.bytes[kind] -= int64(n)
+}
+
+// ShrinkAll returns all bytes that are held for a connection.
+func (a *Account) ShrinkAll(h *Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.holders[h] {
+		return
+	}
+	for kind, n := range h.bytes {
+		a.bytes[kind] -= n
+		h.bytes[kind] = 0
+	}
+}
+
+// Bytes returns the bytes of a kind that are held.
+func (a *Account) Bytes(kind Kind) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bytes[kind]
+}
+
+// Connections returns the number of connections.
+func (a *Account) Connections() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.holders)
+}
+
+// IsClosing reports whether so many connections are being closed that no other can be opened yet.
+func (a *Account) IsClosing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lost > 0 && len(a.holders) >= a.limits.most()
+}
+
+// takePlaces takes the places of up to count connections that may lose theirs.
+func (a *Account) takePlaces(now kcrclock.Time, count int, mayLose func(*Holder) bool) (losers []*Holder) {
+	for h := range a.holders {
+		if !h.Lost() && mayLose(h) {
+			losers = append(losers, h)
+		}
+	}
+	slices.SortFunc(losers, func(x, y *Holder) int { return compareRank(now, x, y) })
+	losers = losers[:min(count, len(losers))]
+	for _, h := range losers {
+		a.lose(h)
+	}
+	return losers
+}
+
+// lose takes the place of a connection.
+func (a *Account) lose(h *Holder) {
+	h.isOut.Store(true)
+	a.lost++
+}
+
+// compareRank orders connections: the one that loses its place first comes first. It is the
+// earlier stage; of one stage the older one, or the one with the least progress for its bytes.
+// Those that entered their stage a moment ago come last, the older ones before the others.
+func compareRank(now kcrclock.Time, x, y *Holder) int {
+	switch {
+	case x.isFresh(now) != y.isFresh(now):
+		if x.isFresh(now) {
+			return 1
+		}
+		return -1
+	case x.isFresh(now):
+		return compare(float64(x.since), float64(y.since))
+	case x.stage != y.stage:
+		return int(x.stage) - int(y.stage)
+	case x.stage >= Sending:
+		return compare(x.ratio(now), y.ratio(now))
+	default:
+		return compare(float64(x.since), float64(y.since))
+	}
+}
+
+func compare(x, y float64) int {
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// isFresh reports whether the connection entered its stage a moment ago.
+func (h *Holder) isFresh(now kcrclock.Time) bool { return now.Sub(h.since) < freshPeriod }
+
+// decayed returns the progress as it counts now.
+func (h *Holder) decayed(now kcrclock.Time) float64 {
+	return h.progress * math.Exp2(-float64(now.Sub(h.at))/float64(progressHalfLife))
+}
+
+// ratio returns the progress for each measured byte that is held.
+func (h *Holder) ratio(now kcrclock.Time) float64 {
+	held := int64(0)
+	for _, n := range h.bytes {
+		held += n
+	}
+	return (h.decayed(now) + 1) / float64(min(held, measuredBytes)+1)
+}
