Bounds for clients that the operators do not control

Bodies are read in parts that are reserved as they come, and are forwarded without a copy. A body without room gets 503, one that makes no progress 408, one over the limit 413; the connection stays open for 300 ms, so that the answer arrives. Socket buffers of callers and upstreams have fixed sizes. A caller that does not read in 250 ms counts as behind, and may lose its stream. Connections to upstreams, sessions of other processes, health checks and metrics have shares of the descriptors. A message grows as it arrives. New setting: descriptors.

--- a/crowd/kcrcrowd/process_test.go
+++ b/crowd/kcrcrowd/process_test.go
@@ -106,10 +106,29 @@
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 		_ = output.Close()
+		if t.Failed() {
+			logWarnings(t, output.Name())
+		}
 	})
 	return p
 }
 
+// maxWarnings is how many warnings of a process are shown after a failure.
+const maxWarnings = 40
+
+// logWarnings logs the last warnings that a process has written to a file.
+func logWarnings(t *testing.T, path string) {
+	t.Helper()
+	data, _ := os.ReadFile(path)
+	var warnings []string
+	for line := range strings.Lines(string(data)) {
+		if !strings.Contains(line, `"level":"INFO"`) {
+			warnings = append(warnings, line)
+		}
+	}
+	t.Logf("last warnings:\n%s", strings.Join(warnings[max(0, len(warnings)-maxWarnings):], ""))
+}
+
 func (p *process) measureUntilStop() {
 	defer close(p.done)
 	for {
--- a/link/kcrhttp/body.go
+++ b/link/kcrhttp/body.go
@@ -279,11 +279,66 @@
 	return newProtocolError(statusContentTooLarge, "body: expected at most %d bytes", limit)
 }
 
+// CheckLength returns a ProtocolError if the announced length of the body exceeds limit.
+func (b *Body) CheckLength(limit int) error {
+	if b.framing == framingLength && b.remaining > int64(limit) {
+		return newProtocolError(statusContentTooLarge, "body: expected at most %d bytes, got %d", limit, b.remaining)
+	}
+	return nil
+}
+
+// Sizes of the parts of a body, in bytes.
+const (
+	firstPart = 4 << 10 // if the length of the body is unknown
+	maxPart   = maxPreallocated
+)
+
+// ReadParts reads a body of at most limit bytes to its end. Before it takes memory for another
+// part, it calls reserve with the size of the part, and gives up if that returns an error.
+func (b *Body) ReadParts(limit int, reserve func(size int) error) (parts [][]byte, err error) {
+	if err := b.CheckLength(limit); err != nil {
+		return nil, err
+	}
+	for read := 0; !b.done; {
+		size := min(max(firstPart, read), maxPart, limit+1-read)
+		if b.framing == framingLength {
+			size = int(min(b.remaining, maxPart))
+		}
+		if err := reserve(size); err != nil {
+			return nil, err
+		}
+		part, err := b.readPart(make([]byte, 0, size))
+		if err != nil {
+			return nil, err
+		}
+		if read += len(part); read > limit {
+			return nil, newProtocolError(statusContentTooLarge, "body: expected at most %d bytes", limit)
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+// readPart reads until part is full or the body ends.
+func (b *Body) readPart(part []byte) ([]byte, error) {
+	for len(part) < cap(part) {
+		n, err := b.Read(part[len(part):cap(part)])
+		part = part[:len(part)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return part, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+	return part, nil
+}
+
 // ReadAll reads a body of at most limit bytes to its end. After a read error it returns
 // the bytes read before it as well.
 func (b *Body) ReadAll(limit int) (data []byte, err error) {
-	if b.framing == framingLength && b.remaining > int64(limit) {
-		return nil, newProtocolError(statusContentTooLarge, "body: expected at most %d bytes, got %d", limit, b.remaining)
+	if err := b.CheckLength(limit); err != nil {
+		return nil, err
 	}
 	data = make([]byte, 0, b.SizeHint())
 	for {
--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -20,9 +21,12 @@
 	"github.com/hashicorp/yamux"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrerror"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/link/kcrtransfer"
 	"kingcuprun.example/link/kcrwire"
 )
@@ -51,7 +55,8 @@
 type Stream struct {
 	conn     net.Conn
 	reader   *bufio.Reader
-	received bool // Recv has returned a message
+	received bool   // Recv has returned a message
+	meter    *meter // of a server's session, nil at a client
 }
 
 func newStream(conn net.Conn) *Stream {
@@ -109,14 +114,55 @@
 
 // Recv reads a message. It returns io.EOF if the peer has closed its end of the call.
 func (s *Stream) Recv(m proto.Message) error {
-	err := protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(s.reader, m)
+	data, err := readMessage(s.reader)
 	if err != nil {
 		return s.callError(err)
 	}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return err
+	}
+	if s.meter != nil {
+		s.meter.consumed(protowire.SizeBytes(len(data)))
+	}
 	s.received = true
 	return nil
 }
 
+// firstBuffer is the first buffer of a long message, in bytes. It grows as the message arrives,
+// since a peer may announce more than it ever sends.
+const firstBuffer = 16 << 10
+
+// readMessage reads a message with its size before it.
+func readMessage(r *bufio.Reader) (data []byte, err error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, err
+	}
+	if size > MaxMessage {
+		return nil, fmt.Errorf("expected at most %d bytes, got %d", MaxMessage, size)
+	}
+	data = make([]byte, 0, min(size, firstBuffer))
+	for len(data) < int(size) {
+		if len(data) == cap(data) {
+			data = append(make([]byte, 0, min(int(size), 2*cap(data))), data...)
+		}
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil {
+			return nil, unexpectedEOF(err)
+		}
+	}
+	return data, nil
+}
+
+// unexpectedEOF returns the error of a message that ends early.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // extendRecvDeadlines makes a deadline of Recv hold for the beginning of the message; see
 // kcrtransfer.Conn. It must be called before the first Recv.
 func (s *Stream) extendRecvDeadlines() {
@@ -142,10 +188,22 @@
 	return config
 }
 
+// maxWaitingCalls is how many calls of a session wait to be accepted by a server.
+const maxWaitingCalls = 64
+
+// serverConfig returns the configuration of a server's sessions.
+func serverConfig() *yamux.Config {
+	config := sessionConfig()
+	config.AcceptBacklog = maxWaitingCalls
+	return config
+}
+
 // Server accepts sessions and serves their calls. Close stops it.
 type Server struct {
 	listener net.Listener
 	handler  Handler
+	memory   *kcrmemory.Account // of the sessions
+	clock    kcrclock.Clock
 	cancel   context.CancelFunc
 	stopping context.Context // done when Shutdown was called
 	stop     context.CancelFunc
@@ -157,15 +215,21 @@
 }
 
 // Listen starts a server on an address of the form ip:port. The handler is called once
-// for each call, concurrently.
+// for each call, concurrently. What the sessions hold is not limited closely; see ListenWithin.
 func Listen(addr string, handler Handler) (s *Server, err error) {
+	return ListenWithin(addr, kcrmemory.New(kcrmemory.Machine{}.Home()), handler)
+}
+
+// ListenWithin starts a server like Listen, whose sessions hold what an account allows. A session
+// that has lost its place ends.
+func ListenWithin(addr string, memory *kcrmemory.Account, handler Handler) (s *Server, err error) {
 	defer kcrerror.Annotate(&err, "listen on %s", addr)
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s = &Server{listener: listener, handler: handler, cancel: cancel, sessions: map[*yamux.Session]bool{}}
+	s = &Server{listener: listener, handler: handler, memory: memory, clock: kcrclock.Monotonic(), cancel: cancel, sessions: map[*yamux.Session]bool{}}
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.wg.Go(func() { s.acceptSessions(ctx) })
 	return s, nil
@@ -181,16 +245,21 @@
 		if err != nil {
 			return
 		}
-		session, err := yamux.Server(conn, sessionConfig())
-		if err != nil {
+		m := s.openMeter(conn)
+		if m == nil {
 			_ = conn.Close()
 			continue
 		}
+		session, err := yamux.Server(m, serverConfig())
+		if err != nil {
+			_ = m.Close()
+			continue
+		}
 		if !s.addSession(session) {
 			_ = session.Close()
 			return
 		}
-		s.wg.Go(func() { s.serveSession(ctx, session) })
+		s.wg.Go(func() { s.serveSession(ctx, session, m) })
 	}
 }
 
@@ -213,7 +282,7 @@
 
 // serveSession serves the calls of a session until it ends or the server shuts down, and
 // waits for them.
-func (s *Server) serveSession(ctx context.Context, session *yamux.Session) {
+func (s *Server) serveSession(ctx context.Context, session *yamux.Session, m *meter) {
 	defer s.removeSession(session)
 	ctx, cancel := context.WithCancel(ctx)
 	accepting, stopAccepting := context.WithCancel(ctx)
@@ -241,7 +310,9 @@
 		if err != nil {
 			return
 		}
-		calls.Go(func() { s.serveCall(ctx, newStream(conn)) })
+		stream := newStream(conn)
+		stream.meter = m
+		calls.Go(func() { s.serveCall(ctx, stream) })
 	}
 }
 
@@ -261,13 +332,24 @@
 	return conn, err
 }
 
+// requestTimeout is how long the request of a call may take to begin.
+const requestTimeout = 5 * time.Second
+
 // serveCall reads the request of a call and calls the handler.
 func (s *Server) serveCall(ctx context.Context, stream *Stream) {
 	defer func() { _ = stream.Close() }()
+	stream.meter.beginCall()
+	defer stream.meter.endCall()
+	stream.extendRecvDeadlines()
+	_ = stream.SetRecvDeadline(time.Now().Add(requestTimeout))
 	var req kcrwire.Request
 	if err := stream.Recv(&req); err != nil {
+		if errors.Is(err, yamux.ErrTimeout) {
+			_ = stream.meter.Close() // a session keeps what has arrived of the call
+		}
 		return
 	}
+	_ = stream.SetRecvDeadline(time.Time{})
 	s.handler(ctx, &req, stream)
 }
 
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -83,10 +83,10 @@
 // placementRequest returns the criteria by which an upstream is chosen. Upstreams of
 // earlier attempts are excluded.
 func (x *exchange) placementRequest() kcrplacement.Request {
-	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes}
+	req := kcrplacement.Request{Service: x.service, Version: x.version, TransferBytes: x.bodySize + plainOverheadBytes}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens = x.usage.promptParts, x.usage.prompt
-		req.TransferBytes = len(x.body) + streamOverheadBytes
+		req.TransferBytes = x.bodySize + streamOverheadBytes
 	}
 	for _, record := range x.attempts {
 		req.Excluded = append(req.Excluded, record.vm)
@@ -208,18 +208,15 @@
 
 // writeRequest writes the request. A long one is written in a separate goroutine,
 // because an upstream may respond before it has read all of it.
-func (a *attempt) writeRequest(request []byte) (state attemptState, reason string) {
+func (a *attempt) writeRequest(parts [][]byte) (state attemptState, reason string) {
 	_ = a.conn.SetWriteDeadline(time.Now().Add(max(1, a.x.remaining()).Std()))
-	if len(request) > maxInlineWrite {
+	if len(parts) > 1 || len(parts[0]) > maxInlineWrite {
 		a.writeResult = make(chan error, 1)
 		a.x.mayHaveRun = true
-		go func() {
-			_, err := a.conn.Write(request)
-			a.writeResult <- err
-		}()
+		go func() { a.writeResult <- writeAll(a.conn, parts) }()
 		return stateOK, ""
 	}
-	n, err := a.conn.Write(request)
+	n, err := a.conn.Write(parts[0])
 	if err == nil {
 		a.fullyWritten = true
 		return stateOK, ""
@@ -230,6 +227,16 @@
 	return stateMayHaveRun, "write: " + rootCauseText(err)
 }
 
+// writeAll writes parts in order.
+func writeAll(conn net.Conn, parts [][]byte) error {
+	for _, part := range parts {
+		if _, err := conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // requestWritten reports whether the whole request has been written.
 func (a *attempt) requestWritten() bool {
 	if a.writeResult == nil {
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -11,6 +11,7 @@
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrhttp"
 )
@@ -35,14 +36,15 @@
 // callerConn is a connection from a caller.
 type callerConn struct {
 	conn     net.Conn
+	place    *place
 	br       *bufio.Reader
 	writeBuf []byte // reused between responses
 }
 
 // serveConn serves requests until the connection ends.
-func (g *Gateway) serveConn(conn net.Conn) {
+func (g *Gateway) serveConn(conn net.Conn, p *place) {
 	defer func() { _ = conn.Close() }()
-	c := &callerConn{conn: conn, br: bufio.NewReaderSize(conn, callerBufSize)}
+	c := &callerConn{conn: conn, place: p, br: bufio.NewReaderSize(conn, callerBufSize)}
 	for g.serveRequest(c) {
 	}
 }
@@ -62,6 +64,9 @@
 	if !g.awaitRequest(c, limits.IdleTimeout) {
 		return false
 	}
+	if !c.place.enter(kcrmemory.Starting) {
+		return false
+	}
 	g.setBusy(c.conn, true)
 	defer g.setBusy(c.conn, false)
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Std()))
@@ -73,17 +78,13 @@
 	x := &exchange{gateway: g, caller: c, head: head, started: g.clock.Now(), cancelled: make(chan struct{})}
 	g.setExchange(c.conn, x)
 	x.closeAfter = !head.KeepAlive()
-	if sameFieldName(head.Get("Expect"), "100-continue") {
-		_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	}
-	body, err := kcrhttp.RequestBody(c.br, head)
-	if err != nil {
-		c.rejectMalformed(err)
+	defer x.release()
+	if err := x.readBody(limits.MaxBodyBytes); err != nil {
+		c.rejectBody(err)
 		return false
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	if x.body, err = body.ReadAll(limits.MaxBodyBytes); err != nil {
-		c.rejectMalformed(err)
+	if !c.place.enter(kcrmemory.Served) {
+		c.rejectBody(errPlaceLost)
 		return false
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -92,7 +93,7 @@
 	stopWatching := x.watchCaller()
 	x.handle()
 	stopWatching()
-	return !x.closeAfter && !x.callerLeft.Load() && !g.stopping.Load()
+	return !x.closeAfter && !x.callerLeft.Load() && !g.stopping.Load() && c.place.enter(kcrmemory.Idle)
 }
 
 // awaitRequest waits for the first byte of the next request, and reports whether it has
@@ -108,27 +109,6 @@
 	return err == nil
 }
 
-// rejectMalformed responds to a request that violates the protocol or a size
-// limit. The connection ends, because the start of the next request is unknown.
-func (c *callerConn) rejectMalformed(err error) {
-	var protocolErr *kcrhttp.ProtocolError
-	if !errors.As(err, &protocolErr) {
-		return
-	}
-	buf := kcrhttp.AppendResponse(c.writeBuf[:0], protocolErr.Status, reasonPhrase(protocolErr.Status), nil)
-	buf = kcrhttp.AppendField(buf, "Connection", "close")
-	buf = kcrhttp.AppendContentLength(buf, len(protocolErr.Text))
-	buf = append(buf, "\r\n"...)
-	_ = c.write(append(buf, protocolErr.Text...)) // the connection is closed even if this fails
-}
-
-// write writes data and gives up after callerWriteTimeout.
-func (c *callerConn) write(data []byte) error {
-	_ = c.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	_, err := c.conn.Write(data)
-	return err
-}
-
 // resetOnClose makes the close of the connection reset it.
 func (c *callerConn) resetOnClose() {
 	if conn, ok := c.conn.(*net.TCPConn); ok {
@@ -141,7 +121,8 @@
 	gateway    *Gateway
 	caller     *callerConn
 	head       *kcrhttp.Head
-	body       []byte
+	body       [][]byte // in parts
+	bodySize   int      // bytes of all parts
 	started    kcrclock.Time
 	closeAfter bool // close the caller's connection after the response
 
@@ -204,14 +185,15 @@
 }
 
 // peekUntilError reads from the connection until it fails, and keeps what it reads for the
-// next request. It returns nil once the buffer is full.
+// next request. It returns nil once the buffer is full, if there is room for what may then wait
+// in the socket.
 func (c *callerConn) peekUntilError() error {
 	for c.br.Buffered() < callerBufSize {
 		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
 			return err
 		}
 	}
-	return nil
+	return c.place.reserve(kcrmemory.Bodies, callerSocketBuffer)
 }
 
 // abandon records that the caller has disconnected and ends the current attempt.
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -30,6 +30,7 @@
 	"kingcuprun.example/kernel/kcrcrash"
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrroute"
 	"kingcuprun.example/kernel/kcrrule"
@@ -65,6 +66,8 @@
 	PartSuspects *kcrcrash.PartSuspects
 	Budget       TeamBudget
 	Retries      RetryLimits
+	// Machine is what the process may use.
+	Machine kcrmemory.Machine
 	// RouterCount returns the number of routers that share the retry budget, 0 if it
 	// is unknown.
 	RouterCount func() int
@@ -117,7 +120,8 @@
 	stopDeadline   atomic.Int64 // end of a planned stop as a kcrclock.Time
 	estimateEnd    atomic.Int64 // until when it takes generations whose end is only estimated, as a kcrclock.Time
 	activeRequests atomic.Int64
-	bufferedBytes  atomic.Int64 // reserved for the bodies of buffered responses
+	memory         *kcrmemory.Account // of the connections of callers
+	lossLines      lineLimit
 	goroutines     conc.WaitGroup
 	acceptDone     chan struct{}      // closed when acceptLoop has returned
 	cancelLoops    context.CancelFunc // stops sweepLoop and the checks of upstreams
@@ -150,14 +154,16 @@
 		rules:        c.Rules,
 		table:        c.Upstreams,
 		startedAt:    c.Clock.Now(),
-		pool:         newPool(),
+		pool:         newPool(c.Machine.Upstreams()),
+		memory:       kcrmemory.New(c.Machine.Callers()),
 		watch:        kcrcrash.NewWatch(),
 		acceptDone:   make(chan struct{}),
-		metrics:      newMetrics(c.Metrics),
 		conns:        map[net.Conn]*connState{},
 		retryWindows: map[kcrid.Service]*kcrroute.RetryWindow{},
 	}
-	if g.listener, err = net.Listen("tcp", c.ListenAddr); err != nil {
+	g.metrics = newMetrics(c.Metrics, g.memory)
+	listen := net.ListenConfig{Control: setCallerBuffers}
+	if g.listener, err = listen.Listen(context.Background(), "tcp", c.ListenAddr); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -188,13 +194,20 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		p := g.openPlace(conn)
+		if p == nil {
+			_ = conn.Close()
+			continue
+		}
 		if !g.addConn(conn) {
 			_ = conn.Close()
+			g.memory.Remove(p.holder)
 			return
 		}
 		g.goroutines.Go(func() {
+			defer g.memory.Remove(p.holder)
 			defer g.removeConn(conn)
-			g.serveConn(conn)
+			g.serveConn(conn, p)
 		})
 	}
 }
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -1,6 +1,10 @@
 package kcrgateway
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"kingcuprun.example/kernel/kcrmemory"
+)
 
 // This file defines the metrics of a gateway.
 
@@ -11,6 +15,7 @@
 	firstLatency *prometheus.HistogramVec // until the response or its first event
 	totalLatency *prometheus.HistogramVec // until the end of the response
 	dials        prometheus.Counter       // new connections to upstreams
+	losses       *prometheus.CounterVec   // places of callers' connections lost, by stage
 	permits      *prometheus.CounterVec   // asked for, by service and whether they were granted
 }
 
@@ -20,16 +25,21 @@
 // latencyBuckets covers the range of latency targets of routes, in seconds.
 var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5, 5, 12}
 
-// newMetrics registers the metrics of a gateway.
-func newMetrics(registry *prometheus.Registry) *metrics {
+// newMetrics registers the metrics of a gateway whose callers are in an account.
+func newMetrics(registry *prometheus.Registry, memory *kcrmemory.Account) *metrics {
 	m := &metrics{
 		responses:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_answers_total", Help: "Answers by kind of route and reason."}, []string{routeKindLabel, "reason"}),
 		attempts:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_attempts_total", Help: "Attempts at upstreams by service and result."}, []string{"service", "result"}),
 		firstLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_first_seconds", Help: "Time to the answer or its first event.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		totalLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_whole_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		dials:        prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_gateway_dials_total", Help: "New connections to upstreams."}),
+		losses:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_places_lost_total", Help: "Connections of callers that lost their place or got none, by what they were doing."}, []string{"stage"}),
 		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{"service", "granted"}),
 	}
-	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits)
+	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.losses)
+	for _, kind := range kcrmemory.Kinds() {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kcr_held_bytes", Help: "Bytes held for callers.", ConstLabels: prometheus.Labels{"kind": kind.String()}}, func() float64 { return float64(memory.Bytes(kind)) }))
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kcr_caller_connections", Help: "Open connections of callers."}, func() float64 { return float64(memory.Connections()) }))
 	return m
 }
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"kingcuprun.example/kernel/kcrclock"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrhttp"
@@ -15,26 +16,23 @@
 // when it is complete. Invariant: a request is sent to another upstream only if it
 // certainly did not run or its route allows a repetition.
 
-// Bounds of the bodies of buffered responses, in bytes: of one, and of all together.
 const (
-	maxBufferedResponse  = 2 << 20
-	maxBufferedResponses = 8 << 20
-	minBuffer            = 1 << 10 // first buffer for a body of unknown length
+	// maxBufferedResponse bounds the body of a buffered response, in bytes.
+	maxBufferedResponse = 2 << 20
+	minBuffer           = 1 << 10 // first buffer for a body of unknown length, in bytes
 )
 
 // errNoBuffer is the error of a response for which there is no memory.
 var errNoBuffer = errors.New("too many large responses at once")
 
-// readBuffered reads the body of a response to its end. The caller must call release when
-// it needs the body no more, also after an error.
-func (g *Gateway) readBuffered(body *kcrhttp.Body) (data []byte, release func(), err error) {
-	reserved := int64(0)
-	release = func() { g.bufferedBytes.Add(-reserved) }
+// readBuffered reads the body of a response to its end. It is held until the exchange ends.
+func (p *place) readBuffered(body *kcrhttp.Body) (data []byte, err error) {
 	grow := func(size int) bool {
-		grown := append(make([]byte, 0, size), data...)
-		added := int64(cap(grown) - cap(data))
-		data, reserved = grown, reserved+added
-		return g.bufferedBytes.Add(added) <= maxBufferedResponses && reserved <= maxBufferedResponse
+		if size > maxBufferedResponse || p.reserve(kcrmemory.Answers, size-cap(data)) != nil {
+			return false
+		}
+		data = append(make([]byte, 0, size), data...)
+		return true
 	}
 	ok := grow(max(body.SizeHint(), minBuffer))
 	for ok {
@@ -42,14 +40,14 @@
 		data = data[:len(data)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return data, release, nil
+			return data, nil
 		case err != nil:
-			return nil, release, err
+			return nil, err
 		case len(data) == cap(data):
 			ok = grow(2 * cap(data))
 		}
 	}
-	return nil, release, errNoBuffer
+	return nil, errNoBuffer
 }
 
 // Wait for one upstream while another attempt is allowed.
@@ -168,8 +166,7 @@
 	}
 	x.mayHaveRun = true
 	a.responseStarted()
-	body, release, err := x.gateway.readBuffered(a.body)
-	defer release()
+	body, err := x.caller.place.readBuffered(a.body)
 	if err != nil {
 		reason = readErrorReason(err)
 		a.end(a.result(stateMayHaveRun, reason), reason)
@@ -195,17 +192,19 @@
 func (x *exchange) writeResponse(head *kcrhttp.Head, body []byte) {
 	x.firstLatency = x.gateway.clock.Now().Sub(x.started)
 	c := x.caller
-	length := len(body)
-	buf := x.appendResponseHead(c.writeBuf[:0], head, length)
-	if x.head.Method != "HEAD" {
-		buf = append(buf, body...)
+	buf := x.appendResponseHead(c.writeBuf[:0], head, len(body))
+	if x.head.Method == "HEAD" {
+		body = nil
+	}
+	if len(body) <= maxInlineWrite {
+		buf, body = append(buf, body...), nil
 	}
 	c.writeBuf = buf[:0]
 	x.outcome = outcomeServed
 	if head.Status >= 400 {
 		x.outcome = "upstream " + strconv.Itoa(head.Status)
 	}
-	if c.write(buf) != nil {
+	if c.write(buf) != nil || len(body) > 0 && c.write(body) != nil {
 		x.outcome, x.closeAfter = x.disconnectOutcome(), true
 	}
 }
--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,16 @@
 	idleAt    kcrclock.Time     // when it was last put into the pool
 	keepAlive kcrclock.Duration // how long the upstream keeps it open while idle
 	reused    bool              // it was taken from the pool
+	pool      *pool
+	closed    atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *upstreamConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // Timing and sizes of connections.
@@ -49,27 +60,35 @@
 
 // pool keeps idle connections. It is safe for concurrent use.
 type pool struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	maxOpen int
+	open    atomic.Int64 // connections that are open or being opened
 
 	mu   sync.Mutex
 	idle map[string][]*upstreamConn // by VM and address, most recently used last
 }
 
-func newPool() *pool {
+// newPool returns a pool that has up to maxOpen connections open, with those that it gave out.
+func newPool(maxOpen int) *pool {
 	return &pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout},
-		idle:   map[string][]*upstreamConn{},
+		maxOpen: maxOpen,
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUpstreamOptions},
+		idle:    map[string][]*upstreamConn{},
 	}
 }
 
 // optTCPUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 const optTCPUserTimeout = 18
 
-// setTCPUserTimeout sets ackTimeout on a socket. It is a net.Dialer.Control.
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setUpstreamOptions sets ackTimeout and the sizes of the buffers on a socket. It is a
+// net.Dialer.Control.
+func setUpstreamOptions(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
 		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(ackTimeout.Milliseconds()))
+		// Without the sizes the connection works as well.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, upstreamSocketBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, upstreamSocketBuffer)
 	})
 	return errors.Join(err, optErr)
 }
@@ -127,13 +146,41 @@
 	return err == nil && silent
 }
 
-// dial opens a connection to an upstream.
+// errTooManyOpen is the error of a connection for which no descriptor is left.
+var errTooManyOpen = errors.New("too many connections to upstreams")
+
+// dial opens a connection to an upstream. If too many are open, it closes an idle one before.
 func (p *pool) dial(vm kcrid.VM, addr string) (*upstreamConn, error) {
+	if p.open.Add(1) > int64(p.maxOpen) && !p.closeOneIdle() {
+		p.open.Add(-1)
+		return nil, errTooManyOpen
+	}
 	conn, err := p.dialer.Dial("tcp", addr)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
-	return &upstreamConn{Conn: conn, br: bufio.NewReaderSize(conn, upstreamBufSize), vm: vm, addr: addr, keepAlive: defaultKeepAlive}, nil
+	return &upstreamConn{Conn: conn, pool: p, br: bufio.NewReaderSize(conn, upstreamBufSize), vm: vm, addr: addr, keepAlive: defaultKeepAlive}, nil
+}
+
+// closeOneIdle closes an idle connection, and reports whether there was one.
+func (p *pool) closeOneIdle() bool {
+	p.mu.Lock()
+	var c *upstreamConn
+	for key, conns := range p.idle {
+		if c = conns[0]; len(conns) == 1 {
+			delete(p.idle, key)
+		} else {
+			p.idle[key] = conns[1:]
+		}
+		break
+	}
+	p.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	_ = c.Close()
+	return true
 }
 
 // put adds a connection to the pool. The head is that of its last response.
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -67,7 +67,7 @@
 	if x.gateway.stopping.Load() && !x.endsBeforeStop() {
 		return x.refuse(statusUnavailable, "the router stops", retryAfterShort)
 	}
-	x.content = kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body)
+	x.content = kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body...)
 	if reason := x.banReason(); reason != "" {
 		return x.refuse(statusUnavailable, reason, retryAfterLong)
 	}
@@ -272,15 +272,20 @@
 	return x.usage.prompt + min(x.usage.output, kcrid.Tokens(x.deliveredEvents)*x.maxTokensPerEvent)
 }
 
-// buildRequest returns the request for an upstream as bytes. A lastEventID that is
-// not negative replaces the position from which the caller resumes a stream.
-func (x *exchange) buildRequest(choice *kcrplacement.Choice, lastEventID int64) []byte {
+// buildRequest returns the request for an upstream as parts, of which a short one is one part. A
+// lastEventID that is not negative replaces the position from which the caller resumes a stream.
+func (x *exchange) buildRequest(choice *kcrplacement.Choice, lastEventID int64) [][]byte {
 	names := &x.gateway.headerNames
 	fields := x.head.ForwardedFields(names.isStripped)
 	if lastEventID >= 0 {
 		fields = removeField(fields, names.LastEventID)
 	}
-	buf := make([]byte, 0, requestHeaderCapacity+len(x.body))
+	short := x.bodySize <= maxInlineWrite
+	capacity := requestHeaderCapacity
+	if short {
+		capacity += x.bodySize
+	}
+	buf := make([]byte, 0, capacity)
 	buf = kcrhttp.AppendRequest(buf, x.head.Method, x.head.Target, fields)
 	if lastEventID >= 0 {
 		buf = kcrhttp.AppendField(buf, names.LastEventID, strconv.FormatInt(lastEventID, 10))
@@ -293,11 +298,17 @@
 	if x.usage.declared {
 		buf = kcrhttp.AppendField(buf, names.Priority, strconv.Itoa(x.priority()))
 	}
-	if len(x.body) > 0 || x.head.Has("Content-Length") || x.head.Has("Transfer-Encoding") {
-		buf = kcrhttp.AppendContentLength(buf, len(x.body))
+	if x.bodySize > 0 || x.head.Has("Content-Length") || x.head.Has("Transfer-Encoding") {
+		buf = kcrhttp.AppendContentLength(buf, x.bodySize)
 	}
 	buf = append(buf, "\r\n"...)
-	return append(buf, x.body...)
+	if !short {
+		return append([][]byte{buf}, x.body...)
+	}
+	for _, part := range x.body {
+		buf = append(buf, part...)
+	}
+	return [][]byte{buf}
 }
 
 const (
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -21,6 +21,7 @@
 	statusUnauthorized    = 401
 	statusPaymentRequired = 402
 	statusNotFound        = 404
+	statusRequestTimeout  = 408
 	statusContentTooLarge = 413
 	statusHeaderTooLarge  = 431
 	statusNotImplemented  = 501
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -129,8 +129,7 @@
 // exchange's upstreamError if another upstream may still serve the request.
 func (s *streamForwarder) forwardOtherResponse(a *attempt) (reason string) {
 	x := s.x
-	body, release, err := x.gateway.readBuffered(a.body)
-	defer release()
+	body, err := x.caller.place.readBuffered(a.body)
 	if err != nil {
 		reason = readErrorReason(err)
 		a.end(a.result(stateMayHaveRun, reason), reason)
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -25,6 +25,7 @@
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrorigin"
 	"kingcuprun.example/kernel/kcrpermit"
 	"kingcuprun.example/link/kcrdaemon"
@@ -49,6 +50,7 @@
 	EscrowPolicy     kcrbudget.Policy  // how much escrow a home holds
 	BucketCount      int               // number of budget buckets, the same in all processes
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
+	Machine          kcrmemory.Machine // what the process may use
 }
 
 // Host runs the homes of the buckets that routers borrow from. It is safe for
@@ -98,7 +100,7 @@
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
 	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), homes: map[kcrid.Bucket]*bucketHome{}}
-	if h.server, err = kcrlink.Listen(c.ListenAddr, h.handleRequest); err != nil {
+	if h.server, err = kcrlink.ListenWithin(c.ListenAddr, kcrmemory.New(c.Machine.Home()), h.handleRequest); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -24,6 +24,7 @@
 	"kingcuprun.example/kernel/kcrfleet"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrpeer"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
@@ -62,6 +63,8 @@
 	// ended, with a margin; 0 if it is unknown. One whose entry stays has not crashed.
 	EntryTimeout     kcrclock.Duration
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
+	// Machine is what the process may use.
+	Machine kcrmemory.Machine
 	// MaxDirectReads is the number of routers times that of upstreams up to which all
 	// routers read all entries, 0 for the default of package kcrfleet.
 	MaxDirectReads int
@@ -147,13 +150,13 @@
 	n.configUnavailable.Store(true)
 	n.DoubtConfig()
 	if c.ControlAddr != "" {
-		if n.server, err = kcrlink.Listen(c.ControlAddr, n.handlePeerRequest); err != nil {
+		if n.server, err = kcrlink.ListenWithin(c.ControlAddr, kcrmemory.New(c.Machine.Peers()), n.handlePeerRequest); err != nil {
 			return nil, err
 		}
 	}
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
-		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
+		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
 	})
