--- a/link/kcrhttp/http_test.go
+++ b/link/kcrhttp/http_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -227,3 +230,56 @@
 	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
 	f.Fuzz(func(_ *testing.T, in string) { _, _ = response(in) })
 }
+
+// TestReadParts checks that a body is read in parts that are reserved before, whatever its framing,
+// and that reading stops at the limit and where nothing is reserved.
+func TestReadParts(t *testing.T) {
+	t.Parallel()
+	const limit = 100 << 10 // of a body, in bytes
+	errFull := errors.New("full")
+	text := strings.Repeat("x", limit)
+	chunked := func(text string, size int) string {
+		var b []byte
+		for part := range slices.Chunk([]byte(text), size) {
+			b = kcrhttp.AppendChunk(b, part)
+		}
+		return "Transfer-Encoding: chunked\r\n\r\n" + string(b) + kcrhttp.LastChunk
+	}
+	for _, c := range []struct {
+		name, message string
+		reserve, read int
+		isLong        bool
+	}{
+		{"length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", limit, text), limit, limit, false},
+		{"small chunks", chunked(text, 3), 2 * limit, limit, false},
+		{"large chunks", chunked(text, limit), 2 * limit, limit, false},
+		{"announced too long", fmt.Sprintf("Content-Length: %d\r\n\r\n", limit+1), 0, 0, true},
+		{"sent too long", chunked(text+"x", 1000), 2 * limit, 0, true},
+		{"not reserved", chunked(text, 1000), limit / 2, 0, false},
+	} {
+		r := bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\n" + c.message))
+		head, err := kcrhttp.ReadRequest(r, 1<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := kcrhttp.RequestBody(r, head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reserved := 0
+		parts, err := body.ReadParts(limit, func(size int) error {
+			if reserved += size; reserved > c.reserve {
+				return errFull
+			}
+			return nil
+		})
+		var protocolErr *kcrhttp.ProtocolError
+		read := len(bytes.Join(parts, nil))
+		switch {
+		case read != c.read || read > reserved:
+			t.Errorf("%s: expected %d bytes, got %d of %d reserved (%v)", c.name, c.read, read, reserved, err)
+		case errors.As(err, &protocolErr) != c.isLong || c.read == 0 && err == nil:
+			t.Errorf("%s: expected an error of the limit %v, got %v", c.name, c.isLong, err)
+		}
+	}
+}
--- a/link/kcrlink/link.go
+++ b/link/kcrlink/link.go
@@ -203,6 +203,7 @@
 	listener net.Listener
 	handler  Handler
 	memory   *kcrmemory.Account // of the sessions
+	onLoss   func(peer net.Addr, why string)
 	clock    kcrclock.Clock
 	cancel   context.CancelFunc
 	stopping context.Context // done when Shutdown was called
@@ -217,19 +218,19 @@
 // Listen starts a server on an address of the form ip:port. The handler is called once
 // for each call, concurrently. What the sessions hold is not limited closely; see ListenWithin.
 func Listen(addr string, handler Handler) (s *Server, err error) {
-	return ListenWithin(addr, kcrmemory.New(kcrmemory.Machine{}.Home()), handler)
+	return ListenWithin(addr, kcrmemory.New(kcrmemory.Machine{}.Home()), func(net.Addr, string) {}, handler)
 }
 
 // ListenWithin starts a server like Listen, whose sessions hold what an account allows. A session
-// that has lost its place ends.
-func ListenWithin(addr string, memory *kcrmemory.Account, handler Handler) (s *Server, err error) {
+// that has lost its place ends; onLoss is called with its peer and the cause.
+func ListenWithin(addr string, memory *kcrmemory.Account, onLoss func(peer net.Addr, why string), handler Handler) (s *Server, err error) {
 	defer kcrerror.Annotate(&err, "listen on %s", addr)
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s = &Server{listener: listener, handler: handler, memory: memory, clock: kcrclock.Monotonic(), cancel: cancel, sessions: map[*yamux.Session]bool{}}
+	s = &Server{listener: listener, handler: handler, memory: memory, onLoss: onLoss, clock: kcrclock.Monotonic(), cancel: cancel, sessions: map[*yamux.Session]bool{}}
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.wg.Go(func() { s.acceptSessions(ctx) })
 	return s, nil
@@ -345,6 +346,7 @@
 	var req kcrwire.Request
 	if err := stream.Recv(&req); err != nil {
 		if errors.Is(err, yamux.ErrTimeout) {
+			s.onLoss(stream.meter.RemoteAddr(), "a call did not end in time")
 			_ = stream.meter.Close() // a session keeps what has arrived of the call
 		}
 		return
--- a/link/kcrlink/meter.go
+++ b/link/kcrlink/meter.go
@@ -39,11 +39,15 @@
 // openMeter adds a connection to the account. It returns nil if no place is left.
 func (s *Server) openMeter(conn net.Conn) *meter {
 	m := &meter{Conn: conn, server: s}
-	holder, losers := s.memory.Open(s.clock.Now(), func(kcrmemory.Stage) { _ = conn.Close() })
+	holder, losers := s.memory.Open(s.clock.Now(), func(kcrmemory.Stage) {
+		s.onLoss(conn.RemoteAddr(), "place lost")
+		_ = conn.Close()
+	})
 	for _, loser := range losers {
 		loser.End()
 	}
 	if holder == nil {
+		s.onLoss(conn.RemoteAddr(), "no connection left")
 		return nil
 	}
 	m.holder = holder
@@ -54,6 +58,7 @@
 func (m *meter) Read(p []byte) (n int, err error) {
 	n, err = m.Conn.Read(p)
 	if data := m.dataIn(p[:n]); data > 0 && !m.reserve(data) {
+		m.server.onLoss(m.RemoteAddr(), "no memory for messages")
 		_ = m.Conn.Close()
 		return 0, net.ErrClosed
 	}
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -121,7 +121,7 @@
 	estimateEnd    atomic.Int64 // until when it takes generations whose end is only estimated, as a kcrclock.Time
 	activeRequests atomic.Int64
 	memory         *kcrmemory.Account // of the connections of callers
-	lossLines      lineLimit
+	lossLines      kcrdaemon.LineLimit
 	goroutines     conc.WaitGroup
 	acceptDone     chan struct{}      // closed when acceptLoop has returned
 	cancelLoops    context.CancelFunc // stops sweepLoop and the checks of upstreams
--- a/router/kcrgateway/place.go
+++ b/router/kcrgateway/place.go
@@ -6,11 +6,9 @@
 	"log/slog"
 	"net"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/link/kcrhttp"
 )
@@ -35,8 +33,6 @@
 	// their memory, and maxRoomPolls how often.
 	roomPollInterval = 2 * time.Millisecond
 	maxRoomPolls     = 250
-	// maxPlaceLines is how many log lines about lost places are written in a second.
-	maxPlaceLines = 20
 )
 
 // place is the place of a caller's connection in the account.
@@ -212,27 +208,13 @@
 // noteLoss counts and logs that a connection lost its place or was refused one.
 func (g *Gateway) noteLoss(conn net.Conn, stage, why string) {
 	g.metrics.losses.WithLabelValues(stage).Inc()
-	if !g.lossLines.allow(g.clock.Now()) {
+	if !g.lossLines.Allow(g.clock.Now()) {
 		return
 	}
 	g.logger.LogAttrs(context.Background(), slog.LevelWarn, "place lost", slog.String("caller", conn.RemoteAddr().String()), slog.String("stage", stage), slog.String("why", why),
 		slog.Int("open", g.memory.Connections()), slog.Int64("bodies", g.memory.Bytes(kcrmemory.Bodies)), slog.Int64("streams", g.memory.Bytes(kcrmemory.Streams)))
 }
 
-// lineLimit allows maxPlaceLines log lines a second. It is safe for concurrent use.
-type lineLimit struct {
-	second atomic.Int64
-	lines  atomic.Int64
-}
-
-func (l *lineLimit) allow(now kcrclock.Time) bool {
-	second := int64(now) / int64(kcrclock.Second)
-	if l.second.Swap(second) != second {
-		l.lines.Store(0)
-	}
-	return l.lines.Add(1) <= maxPlaceLines
-}
-
 // setCallerBuffers sets the sizes of the socket buffers of callers' connections on their listener.
 // It is a net.ListenConfig.Control.
 func setCallerBuffers(_, _ string, raw syscall.RawConn) error {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -61,6 +62,7 @@
 	permits   *kcrpermit.Issuer // for upstreams with a rate limit
 	origins   *kcrorigin.Register
 	server    *kcrlink.Server
+	lossLines kcrdaemon.LineLimit
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
 
@@ -100,7 +102,7 @@
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
 	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), homes: map[kcrid.Bucket]*bucketHome{}}
-	if h.server, err = kcrlink.ListenWithin(c.ListenAddr, kcrmemory.New(c.Machine.Home()), h.handleRequest); err != nil {
+	if h.server, err = kcrlink.ListenWithin(c.ListenAddr, kcrmemory.New(c.Machine.Home()), h.noteLostSession, h.handleRequest); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -109,6 +111,13 @@
 	return h, nil
 }
 
+// noteLostSession records that a session of another process lost its place.
+func (h *Host) noteLostSession(peer net.Addr, why string) {
+	if h.lossLines.Allow(h.config.Clock.Now()) {
+		h.config.Logger.Warn("session lost", "peer", peer.String(), "why", why)
+	}
+}
+
 // Addr returns the address for routers.
 func (h *Host) Addr() string { return h.server.Addr() }
 
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,8 @@
 	permits           *permitDesk
 	origins           *originDesk
 	loans             prometheus.Counter // loans started
+	lostSessions      prometheus.Counter
+	lossLines         kcrdaemon.LineLimit
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
 	pool              *kcrlink.Pool
@@ -107,6 +110,14 @@
 	wg                conc.WaitGroup
 }
 
+// noteLostSession records that a session of another process lost its place.
+func (n *Node) noteLostSession(peer net.Addr, why string) {
+	n.lostSessions.Inc()
+	if n.lossLines.Allow(n.clock.Now()) {
+		n.logger.Warn("session lost", "peer", peer.String(), "why", why)
+	}
+}
+
 // Timing and limits of a node.
 const (
 	// tickInterval is the time between two runs of the periodic work.
@@ -143,6 +154,7 @@
 		permits:       newPermitDesk(),
 		origins:       newOriginDesk(),
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
+		lostSessions:  prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_sessions_lost_total", Help: "Sessions of other processes that lost their place or got none."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
 		parseRules:    c.ParseRules,
@@ -150,7 +162,7 @@
 	n.configUnavailable.Store(true)
 	n.DoubtConfig()
 	if c.ControlAddr != "" {
-		if n.server, err = kcrlink.ListenWithin(c.ControlAddr, kcrmemory.New(c.Machine.Peers()), n.handlePeerRequest); err != nil {
+		if n.server, err = kcrlink.ListenWithin(c.ControlAddr, kcrmemory.New(c.Machine.Peers()), n.noteLostSession, n.handlePeerRequest); err != nil {
 			return nil, err
 		}
 	}
@@ -429,7 +441,7 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans)
+	c.Metrics.MustRegister(n.loans, n.lostSessions)
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
