--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -87,12 +87,12 @@
 // those that are full.
 func (x *exchange) placementRequest() kcrplacement.Request {
 	req := kcrplacement.Request{
-		Service: x.service, Version: x.version, TransferBytes: len(x.body) + plainOverheadBytes,
+		Service: x.service, Version: x.version, TransferBytes: x.bodySize + plainOverheadBytes,
 		Rank: x.rank(), Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
 	}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens, req.OutputTokens = x.usage.promptParts, x.usage.prompt, x.usage.output
-		req.TransferBytes = len(x.body) + streamOverheadBytes
+		req.TransferBytes = x.bodySize + streamOverheadBytes
 	}
 	req.SkipsFull = len(x.attempts) == 0 && x.version == ""
 	for _, record := range x.attempts {
@@ -188,18 +188,15 @@
 
 // writeRequest writes the request. A long one is written in a separate goroutine,
 // because an upstream may respond before it has read all of it.
-func (a *attempt) writeRequest(request []byte) (state attemptState, reason string) {
+func (a *attempt) writeRequest(parts [][]byte) (state attemptState, reason string) {
 	_ = a.conn.SetWriteDeadline(time.Now().Add(max(1, a.x.remaining()).Std()))
-	if len(request) > maxInlineWrite {
+	if len(parts) > 1 || len(parts[0]) > maxInlineWrite {
 		a.writeResult = make(chan error, 1)
 		a.x.mayHaveRun = true
-		go func() {
-			_, err := a.conn.Write(request)
-			a.writeResult <- err
-		}()
+		go func() { a.writeResult <- writeAll(a.conn, parts) }()
 		return stateOK, ""
 	}
-	n, err := a.conn.Write(request)
+	n, err := a.conn.Write(parts[0])
 	if err == nil {
 		a.fullyWritten = true
 		return stateOK, ""
@@ -210,6 +207,16 @@
 	return stateMayHaveRun, "write: " + rootCauseText(err)
 }
 
+// writeAll writes parts in order.
+func writeAll(conn net.Conn, parts [][]byte) error {
+	for _, part := range parts {
+		if _, err := conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // requestWritten reports whether the whole request has been written.
 func (a *attempt) requestWritten() bool {
 	if a.writeResult == nil {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	"kingcuprun.example/kernel/kcrerror"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrorigin"
 	"kingcuprun.example/kernel/kcrpermit"
 	"kingcuprun.example/link/kcrdaemon"
@@ -49,6 +51,7 @@
 	EscrowPolicy     kcrbudget.Policy  // how much escrow a home holds
 	BucketCount      int               // number of budget buckets, the same in all processes
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
+	Machine          kcrmemory.Machine // what the process may use
 }
 
 // Host runs the homes of the buckets that routers borrow from. It is safe for
@@ -60,6 +63,7 @@
 	origins   *kcrorigin.Register
 	answers   *answers // to loans and returns
 	server    *kcrlink.Server
+	lossLines kcrdaemon.LineLimit
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
 
@@ -99,7 +103,7 @@
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
 	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), answers: newAnswers(), homes: map[kcrid.Bucket]*bucketHome{}}
-	if h.server, err = kcrlink.Listen(c.ListenAddr, h.handleRequest); err != nil {
+	if h.server, err = kcrlink.ListenWithin(c.ListenAddr, kcrmemory.New(c.Machine.Home()), h.noteLostSession, h.handleRequest); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -108,6 +112,13 @@
 	return h, nil
 }
 
+// noteLostSession records that a session of another process lost its place.
+func (h *Host) noteLostSession(peer net.Addr, why string) {
+	if h.lossLines.Allow(h.config.Clock.Now()) {
+		h.config.Logger.Warn("session lost", "peer", peer.String(), "why", why)
+	}
+}
+
 // Addr returns the address for routers.
 func (h *Host) Addr() string { return h.server.Addr() }
 
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"kingcuprun.example/kernel/kcrfleet"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
+	"kingcuprun.example/kernel/kcrmemory"
 	"kingcuprun.example/kernel/kcrpeer"
 	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/kernel/kcrrule"
@@ -63,6 +65,8 @@
 	// ended, with a margin; 0 if it is unknown. One whose entry stays has not crashed.
 	EntryTimeout     kcrclock.Duration
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
+	// Machine is what the process may use.
+	Machine kcrmemory.Machine
 	// MaxDirectReads is the number of routers times that of upstreams up to which all
 	// routers read all entries, 0 for the default of package kcrfleet.
 	MaxDirectReads int
@@ -92,6 +96,8 @@
 	zones             *zoneDesk
 	loans             prometheus.Counter // loans started
 	pendingRefusals   prometheus.Counter // requests that waited for escrow in vain
+	lostSessions      prometheus.Counter
+	lossLines         kcrdaemon.LineLimit
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	transferCount     atomic.Uint64      // loans and returns so far
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
@@ -109,6 +115,14 @@
 	wg                conc.WaitGroup
 }
 
+// noteLostSession records that a session of another process lost its place.
+func (n *Node) noteLostSession(peer net.Addr, why string) {
+	n.lostSessions.Inc()
+	if n.lossLines.Allow(n.clock.Now()) {
+		n.logger.Warn("session lost", "peer", peer.String(), "why", why)
+	}
+}
+
 // Timing and limits of a node.
 const (
 	// tickInterval is the time between two runs of the periodic work.
@@ -147,6 +161,7 @@
 		zones:           newZoneDesk(),
 		loans:           prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		pendingRefusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_escrow_pending_total", Help: "Requests that waited for escrow in vain though the budget may cover them."}),
+		lostSessions:    prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_sessions_lost_total", Help: "Sessions of other processes that lost their place or got none."}),
 		peers:           kcrpeer.New(c.Self, c.ControlAddr),
 		pool:            kcrlink.NewPool(),
 		coldBounds:      c.ColdBounds,
@@ -155,13 +170,13 @@
 	n.configUnavailable.Store(true)
 	n.DoubtConfig()
 	if c.ControlAddr != "" {
-		if n.server, err = kcrlink.Listen(c.ControlAddr, n.handlePeerRequest); err != nil {
+		if n.server, err = kcrlink.ListenWithin(c.ControlAddr, kcrmemory.New(c.Machine.Peers()), n.noteLostSession, n.handlePeerRequest); err != nil {
 			return nil, err
 		}
 	}
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
-		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
+		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, ReturnAfter: n.ReturnAfter, StoreIsLost: n.fleet.StoreIsLost},
@@ -449,7 +464,7 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans, n.pendingRefusals, &paceCollector{paces: n.table.Paces})
+	c.Metrics.MustRegister(n.loans, n.pendingRefusals, n.lostSessions, &paceCollector{paces: n.table.Paces})
 	gauge("kcr_escrow_waiting_requests", "Requests that wait for escrow.", func() (sum float64) {
 		for _, b := range n.buckets {
 			sum += float64(b.queue.Len())
