--- a/router/kcrgateway/admission_turn_test.go
+++ b/router/kcrgateway/admission_turn_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"kingcuprun.example/kernel/kcradmission"
+	"kingcuprun.example/kernel/kcrrule"
 )
 
 // Guards against a turn that is lost to those that wait when its request leaves at the same moment.
@@ -29,7 +30,7 @@
 // since all of these have refused another request a moment ago.
 func TestStreamOfOneVersionIsSentToFullUpstreams(t *testing.T) {
 	t.Parallel()
-	if x := (&exchange{version: "v1"}); x.placementRequest().SkipsFull {
+	if x := (&exchange{version: "v1", route: &kcrrule.Route{}}); x.placementRequest().SkipsFull {
 		t.Error("expected full upstreams of the version to be tried")
 	}
 }
