Memory: a new connection has time to make use of its place

Cause: beside 2,000 hostile connections (crowd, tag many) ordinary calls lost their places: a connection that had just come was older than the next ones, a body of five bytes counted as one without progress, and the acceptor waited for those that lingered. What entered its stage within 250 ms keeps its place, new ones wait for 300 ms at most, 4 KiB need no progress, and nobody lingers while all places are taken.

--- a/kernel/kcrmemory/account.go
+++ b/kernel/kcrmemory/account.go
@@ -77,11 +77,13 @@
 	progressHalfLife = 500 * kcrclock.Millisecond
 	// measuredBytes is up to how many bytes progress is expected for what is held.
 	measuredBytes = 256 << 10
+	// unmeasuredBytes is how many bytes may be held without progress.
+	unmeasuredBytes = 4 << 10
 	// fairRatio is the progress, as a part of the measured bytes, from which on a connection keeps
 	// its place.
 	fairRatio = 0.25
 	// freshPeriod is how long a connection that enters a stage has time to make use of it.
-	freshPeriod = 100 * kcrclock.Millisecond
+	freshPeriod = 250 * kcrclock.Millisecond
 	// batchDivisor is the part of the connections that lose their places at once.
 	batchDivisor = 64
 )
@@ -120,12 +122,15 @@
 func (h *Holder) Lost() bool { return h.isOut.Load() }
 
 // Open adds a connection. Its end is called, with its stage, when it has lost its place. The
-// caller must call End of the losers. The holder is nil if no place is left.
+// caller must call End of the losers. The holder is nil if no place is left yet: connections that
+// entered their stage a moment ago have time to make use of it, and losers to close.
 func (a *Account) Open(now kcrclock.Time, end func(Stage)) (h *Holder, losers []*Holder) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.holders)-a.lost >= a.limits.Connections {
-		losers = a.takePlaces(now, 1+a.limits.Connections/batchDivisor, func(h *Holder) bool { return h.stage < Sending || h.stage < Served && h.ratio(now) < fairRatio })
+		losers = a.takePlaces(now, 1+a.limits.Connections/batchDivisor, func(h *Holder) bool {
+			return !h.isFresh(now) && (h.stage < Sending || h.stage < Served && h.ratio(now) < fairRatio)
+		})
 	}
 	if len(a.holders)-a.lost >= a.limits.Connections || len(a.holders) >= a.limits.most() {
 		return nil, losers
@@ -282,11 +287,11 @@
 	return len(a.holders)
 }
 
-// IsClosing reports whether so many connections are being closed that no other can be opened yet.
-func (a *Account) IsClosing() bool {
+// IsFull reports whether all places are taken.
+func (a *Account) IsFull() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.lost > 0 && len(a.holders) >= a.limits.most()
+	return len(a.holders) >= a.limits.Connections
 }
 
 // takePlaces takes the places of up to count connections that may lose theirs.
@@ -312,16 +317,8 @@
 
 // compareRank orders connections: the one that loses its place first comes first. It is the
 // earlier stage; of one stage the older one, or the one with the least progress for its bytes.
-// Those that entered their stage a moment ago come last, the older ones before the others.
 func compareRank(now kcrclock.Time, x, y *Holder) int {
 	switch {
-	case x.isFresh(now) != y.isFresh(now):
-		if x.isFresh(now) {
-			return 1
-		}
-		return -1
-	case x.isFresh(now):
-		return compare(float64(x.since), float64(y.since))
 	case x.stage != y.stage:
 		return int(x.stage) - int(y.stage)
 	case x.stage >= Sending:
@@ -356,5 +353,5 @@
 	for _, n := range h.bytes {
 		held += n
 	}
-	return (h.decayed(now) + 1) / float64(min(held, measuredBytes)+1)
+	return (h.decayed(now) + unmeasuredBytes) / float64(min(held, measuredBytes)+unmeasuredBytes)
 }
--- a/router/kcrgateway/place.go
+++ b/router/kcrgateway/place.go
@@ -33,6 +33,8 @@
 	// their memory, and maxRoomPolls how often.
 	roomPollInterval = 2 * time.Millisecond
 	maxRoomPolls     = 250
+	// maxPlacePolls is how often a place for a new connection is asked for at that interval.
+	maxPlacePolls = 150
 )
 
 // place is the place of a caller's connection in the account.
@@ -43,23 +45,21 @@
 	behind  bool // behindBytes are reserved
 }
 
-// openPlace adds a connection to the account. It returns nil if no place is left.
+// openPlace adds a connection to the account. It waits a moment for a place, while further
+// connections wait to be accepted, and returns nil if there is none.
 func (g *Gateway) openPlace(conn net.Conn) *place {
 	p := &place{gateway: g, conn: conn}
-	for range maxRoomPolls {
-		if !g.memory.IsClosing() {
-			break
+	for range maxPlacePolls {
+		holder, losers := g.memory.Open(g.clock.Now(), p.end)
+		endAll(losers)
+		if holder != nil {
+			p.holder = holder
+			return p
 		}
 		time.Sleep(roomPollInterval)
 	}
-	holder, losers := g.memory.Open(g.clock.Now(), p.end)
-	endAll(losers)
-	if holder == nil {
-		g.noteLoss(conn, "", "no connection left")
-		return nil
-	}
-	p.holder = holder
-	return p
+	g.noteLoss(conn, "", "no connection left")
+	return nil
 }
 
 func endAll(losers []*kcrmemory.Holder) {
--- a/router/kcrgateway/reject.go
+++ b/router/kcrgateway/reject.go
@@ -116,7 +116,7 @@
 	c.place.noteRejection(err)
 	c.rejectMalformed(err)
 	conn, ok := c.conn.(*net.TCPConn)
-	if !ok || conn.CloseWrite() != nil {
+	if !ok || c.place.gateway.memory.IsFull() || conn.CloseWrite() != nil {
 		return
 	}
 	c.place.enter(kcrmemory.Silent)
