Escrow for a crowd at one router taken out again

Cause: with loans by all that wait, a router of a thin link takes on more than its link bears; what was refused at once and served elsewhere is held until its deadline. Ruled out: load of the machine alone. Change: reverted.

--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -247,7 +247,7 @@
 	}
 	maxWait := min(x.route.LatencyTarget/budgetWaitDivisor, x.remaining()/budgetWaitDivisor)
 	start := x.gateway.clock.Now()
-	outcome := x.gateway.config.Budget.Reserve(x.team.Name, x.usage.maxTokens(), x.order(), maxWait, x.cancelled)
+	outcome := x.gateway.config.Budget.Reserve(x.team.Name, x.usage.maxTokens(), maxWait, x.cancelled)
 	x.budgetWait = x.gateway.clock.Now().Sub(start)
 	switch outcome {
 	case kcrbudget.Granted:
@@ -255,22 +255,13 @@
 	case kcrbudget.BudgetExhausted:
 		return x.refuse(statusPaymentRequired, "the budget does not cover the request", 0)
 	}
-	retryAfter := retryAfterOutage
-	if !x.gateway.config.Budget.StoreIsLost() {
-		retryAfter = x.gateway.config.Budget.ReturnAfter(x.team.Name, x.usage.maxTokens())
+	retryAfter := retryAfterMedium
+	if x.gateway.config.Budget.StoreIsLost() {
+		retryAfter = retryAfterOutage
 	}
 	return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfter)
 }
 
-// order returns the place of the request among those of its team that wait for escrow.
-func (x *exchange) order() kcrbudget.Order {
-	order := kcrbudget.Order{RouteRank: x.route.Priority, Deadline: x.deadline}
-	if x.team.Priority >= 0 {
-		order.TeamRank = x.team.Priority
-	}
-	return order
-}
-
 // forward makes attempts until there is a response, and returns the tokens to
 // charge.
 func (x *exchange) forward() kcrid.Tokens {
