Routers refuse what their own link can't carry in time

Cause: a router of a thin link takes on whatever comes through it; requests and answers wait at the link until their deadlines, the store and the homes answer late, and the router learns late who leaves. Change: kcradmission.Link estimates what waits at the link from what the router sends and the link's speed (setting link). A request whose share of its target latency the link would use up is refused at once, before a reservation, with 503 and a time to come back; its caller comes back through another router. Not measured yet.

--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -216,3 +216,19 @@
 		return false
 	}
 }
+
+// linkDelayDivisor divides the target latency of a request to give the longest delay at the
+// router's own link. The request and its answer both wait there.
+const linkDelayDivisor = 4
+
+// longestLinkDelay returns how long what is sent for the request may wait at the router's own link.
+// Where it would wait for longer, its caller is better served by another router.
+func (x *exchange) longestLinkDelay() kcrclock.Duration {
+	if target := x.route.LatencyTarget; target > 0 {
+		return target / linkDelayDivisor
+	}
+	return x.remaining() / linkDelayDivisor
+}
+
+// recordSent records bytes that are handed to the router's own link.
+func (g *Gateway) recordSent(bytes int) { g.link.Sent(g.clock.Now(), bytes) }
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -189,6 +189,9 @@
 // writeRequest writes the request. A long one is written in a separate goroutine,
 // because an upstream may respond before it has read all of it.
 func (a *attempt) writeRequest(parts [][]byte) (state attemptState, reason string) {
+	for _, part := range parts {
+		a.x.gateway.recordSent(len(part))
+	}
 	_ = a.conn.SetWriteDeadline(time.Now().Add(max(1, a.x.remaining()).Std()))
 	if len(parts) > 1 || len(parts[0]) > maxInlineWrite {
 		a.writeResult = make(chan error, 1)
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -38,13 +38,14 @@
 	conn     net.Conn
 	place    *place
 	br       *bufio.Reader
-	writeBuf []byte // reused between responses
+	writeBuf []byte          // reused between responses
+	sent     func(bytes int) // records what is handed to the link
 }
 
 // serveConn serves requests until the connection ends.
 func (g *Gateway) serveConn(conn net.Conn, p *place) {
 	defer func() { _ = conn.Close() }()
-	c := &callerConn{conn: conn, place: p, br: bufio.NewReaderSize(conn, callerBufSize)}
+	c := &callerConn{conn: conn, place: p, sent: g.recordSent, br: bufio.NewReaderSize(conn, callerBufSize)}
 	for g.serveRequest(c) {
 	}
 }
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
+	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrcrash"
@@ -66,6 +67,8 @@
 	PartSuspects *kcrcrash.PartSuspects
 	Budget       TeamBudget
 	Retries      RetryLimits
+	// LinkBytesPerSecond is the speed of this machine's link in each direction, 0 if it is unknown.
+	LinkBytesPerSecond float64
 	// Machine is what the process may use.
 	Machine kcrmemory.Machine
 	// RouterCount returns the number of routers that share the retry budget, 0 if it
@@ -115,6 +118,7 @@
 	table          *kcrplacement.Table
 	startedAt      kcrclock.Time
 	pool           *pool
+	link           *kcradmission.Link
 	watch          *kcrcrash.Watch // upstreams on which runs ended without a response
 	metrics        *metrics
 	listener       net.Listener
@@ -161,6 +165,7 @@
 		pool:         newPool(c.Machine.Upstreams()),
 		memory:       kcrmemory.New(c.Machine.Callers()),
 		watch:        kcrcrash.NewWatch(),
+		link:         kcradmission.NewLink(c.LinkBytesPerSecond),
 		acceptDone:   make(chan struct{}),
 		conns:        map[net.Conn]*connState{},
 		retryWindows: map[kcrid.Service]*kcrroute.RetryWindow{},
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -15,6 +15,7 @@
 	firstLatency *prometheus.HistogramVec // until the response or its first event
 	totalLatency *prometheus.HistogramVec // until the end of the response
 	dials        prometheus.Counter       // new connections to upstreams
+	linkRefusals prometheus.Counter       // requests refused since the router's link was full
 	losses       *prometheus.CounterVec   // places of callers' connections lost, by stage
 	permits      *prometheus.CounterVec   // asked for, by service and whether they were granted
 	waits        *prometheus.CounterVec   // of requests for a place, by service
@@ -38,10 +39,11 @@
 		totalLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "kcr_gateway_whole_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets}, []string{routeKindLabel}),
 		dials:        prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_gateway_dials_total", Help: "New connections to upstreams."}),
 		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{serviceLabel, "granted"}),
+		linkRefusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_link_refusals_total", Help: "Requests refused since too much waited at the link of the router."}),
 		losses:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_places_lost_total", Help: "Connections of callers that lost their place or got none, by what they were doing."}, []string{"stage"}),
 		waits:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_waits_total", Help: "Requests that waited, or were refused, since no upstream of their service had a place."}, []string{serviceLabel}),
 	}
-	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.waits, m.losses)
+	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.waits, m.losses, m.linkRefusals)
 	for _, kind := range kcrmemory.Kinds() {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kcr_held_bytes", Help: "Bytes held for callers.", ConstLabels: prometheus.Labels{"kind": kind.String()}}, func() float64 { return float64(memory.Bytes(kind)) }))
 	}
--- a/router/kcrgateway/place.go
+++ b/router/kcrgateway/place.go
@@ -138,6 +138,7 @@
 	if c.place.holder.Lost() {
 		return errBehind
 	}
+	c.sent(len(data))
 	_ = c.conn.SetWriteDeadline(time.Now().Add(promptWriteTimeout))
 	n, err := c.conn.Write(data)
 	if err == nil {
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -79,6 +79,10 @@
 	if x.onlyEmptied() {
 		return x.refuse(statusUnavailable, reasonEmptied, retryAfterEmptied)
 	}
+	if delay := x.gateway.link.Delay(x.gateway.clock.Now()); delay > x.longestLinkDelay() {
+		x.gateway.metrics.linkRefusals.Inc()
+		return x.refuse(statusUnavailable, "the link of the router is full", max(retryAfterShort, delay))
+	}
 	return true
 }
 
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -64,6 +64,7 @@
 	// EntryTimeout is the time in which the store removes the entry of an upstream that has
 	// ended, with a margin; 0 if it is unknown. One whose entry stays has not crashed.
 	EntryTimeout     kcrclock.Duration
+	LinkBytes        float64           // speed of the machine's link in bytes per second, 0 if unknown
 	SnapshotInterval kcrclock.Duration // time between snapshots of a stream
 	// Machine is what the process may use.
 	Machine kcrmemory.Machine
