Placement: the load that other routers have told

Cause: a router counts only its own requests at an engine, a twentieth of what meets there.

Change: kernel/kcrload adds up what routers tell of their load (parts with a number and a lifetime, sums without the asker's own part, bounded digests, the pace of the exchange); kernel/kcrplacement/load.go tells the own load, takes digests, ages them by how long requests last towards the mean of the service, and adds a cost: what others wait for while little waits, slots nearly all in use. An engine that is overrun is no session's preferred one. Without a digest, or after its lifetime, the cost is as before.

--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -6,6 +6,7 @@
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrload"
 )
 
 // This file defines what a router knows of one upstream from its own requests: its load,
@@ -63,9 +64,13 @@
 type upstream struct {
 	Upstream
 	hash         uint64            // of the ID
+	key          kcrload.Key       // of this start
 	longPool     bool              // belongs to the long-prompt pool
 	inflight     int               // requests of this router
+	waiting      int               // those of them whose response has not begun
 	backlog      kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
+	added        kcrid.Tokens      // prompt tokens of this router's requests that were not cached
+	others       othersLoad        // of other routers
 	retryAt      kcrclock.Time     // end of the cooldown
 	backoff      kcrclock.Duration // last cooldown after a failed connection
 	fails        float64           // failure rate from 0 to 1, as of failsAt
@@ -142,6 +147,7 @@
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	c.endTrial(now, true)
+	c.recordBegun(now)
 	c.state.backlog -= c.pending
 	c.pending = 0
 	c.state.backoff = 0
@@ -169,11 +175,12 @@
 	defer c.service.mu.Unlock()
 	u := c.state
 	c.endTrial(now, false)
-	u.inflight--
+	c.recordEnded()
 	u.backlog -= c.pending
 	c.pending = 0
 	switch r {
 	case Served:
+		c.recordLength(now)
 		u.recordResult(now, 0)
 	case ErrorResponse:
 		u.recordResult(now, 1)
--- a/kernel/kcrplacement/ranking.go
+++ b/kernel/kcrplacement/ranking.go
@@ -37,8 +37,8 @@
 const cooldownCost = 1e9
 
 // preferred returns the upstream that all routers prefer for the longest shared prefix, by
-// rendezvous hashing over those that take the request, are not in cooldown and have no rate
-// limit. It returns nil for a request that shares nothing.
+// rendezvous hashing over those that take the request, are not in cooldown or overrun and have
+// no rate limit. It returns nil for a request that shares nothing.
 func (s *service) preferred(now kcrclock.Time, req Request) (best *upstream) {
 	if len(req.PromptParts) < 2 {
 		return nil
@@ -46,7 +46,7 @@
 	lastShared := req.PromptParts[len(req.PromptParts)-2].ID
 	highest, longPool := uint64(0), s.usesLongPool(&req)
 	for _, u := range s.upstreams {
-		if h := mix(lastShared ^ u.hash); h >= highest && now >= u.retryAt && u.longPool == longPool && !u.rateLimit.Named && s.takes(now, u, &req) {
+		if h := mix(lastShared ^ u.hash); h >= highest && now >= u.retryAt && u.longPool == longPool && !u.rateLimit.Named && s.takes(now, u, &req) && !s.isOverrun(now, u) {
 			best, highest = u, h
 		}
 	}
@@ -83,6 +83,7 @@
 		cost += w.WrongPool
 	}
 	cost += w.FailureRate * u.failureRate(now)
+	cost += s.othersCost(now, u, w)
 	if s.latencyRatio > 0 && u.latencyRatio > s.latencyRatio {
 		cost += w.ExcessLatency * min(u.latencyRatio/s.latencyRatio-1, maxExcessLatency) * decay(now.Sub(u.latencyAt))
 	}
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -42,7 +42,7 @@
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	c.endTrial(until, false)
-	c.state.inflight--
+	c.recordEnded()
 	c.state.backlog -= c.pending
 	c.pending = 0
 	c.state.withheldUntil = max(c.state.withheldUntil, until)
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -17,6 +17,7 @@
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrload"
 )
 
 // This file defines the table of upstreams and the choice of one for an attempt.
@@ -62,6 +63,8 @@
 	leaving      map[kcrid.VM]int64 // starts of upstreams that have said that they leave
 	latencyRatio float64            // average over all upstreams
 	rotation     int                // offset at which the next scan of the upstreams begins
+	lengths      lengths            // of requests
+	others       *meanLoad          // of other routers as of the last digest, nil before the first
 }
 
 // Table is one router's view of all upstreams. It is safe for concurrent use.
@@ -125,7 +128,7 @@
 	for _, u := range upstreams {
 		state := previous[u.ID]
 		if state == nil || state.StartedAt != u.StartedAt || state.Addr != u.Addr {
-			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), cachedParts: map[uint64]struct{}{}}
+			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), key: kcrload.KeyOf(u.ID, u.StartedAt), cachedParts: map[uint64]struct{}{}}
 		}
 		if u.WarmupRemaining > 0 && u.WarmupRemaining != state.WarmupRemaining {
 			state.warmAt = now.Add(u.WarmupRemaining)
@@ -153,6 +156,7 @@
 	promptParts []PromptPart
 	pending     kcrid.Tokens // tokens that this request still adds to the backlog
 	started     kcrclock.Time
+	begun       bool // the response has begun
 	trial       bool // the upstream is on trial after a pause
 }
 
@@ -184,7 +188,9 @@
 		return nil
 	}
 	best.inflight++
+	best.waiting++
 	best.backlog += bestUncached
+	best.added += bestUncached
 	if !best.rateLimit.Named {
 		best.recordCached(req.PromptParts)
 	}
