Router: load exchanged through a collector in each zone

Change: a router tells its load to the first side process of its zone in rendezvous order, 5 times a second or less the larger the fleet, and gets the sum of the others; collectors ask those of other zones. A collector that does not answer is passed over for 2 s; a router alone, or without side processes, calls nobody. Metrics kcr_loads_age_seconds, kcr_loads_upstreams, kcr_loads_calls_total{result}; a log line when the load of others is no longer learned, and when it is again.

--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -58,6 +58,8 @@
 	startedAt kcrclock.Time     // on the clock of Config.BootClock
 	permits   *kcrpermit.Issuer // for upstreams with a rate limit
 	origins   *kcrorigin.Register
+	collector *collectorDesk
+	pool      *kcrlink.Pool // to other hosts
 	server    *kcrlink.Server
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
@@ -97,7 +99,7 @@
 // New starts a host. It opens no home until a router asks for a loan.
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
-	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), homes: map[kcrid.Bucket]*bucketHome{}}
+	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), collector: newCollectorDesk(), pool: kcrlink.NewPool(), homes: map[kcrid.Bucket]*bucketHome{}}
 	if h.server, err = kcrlink.Listen(c.ListenAddr, h.handleRequest); err != nil {
 		return nil, err
 	}
@@ -112,7 +114,7 @@
 
 // handleRequest answers a request of a router.
 func (h *Host) handleRequest(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
-	reply := &kcrwire.Reply{Error: "expected lend, permit or origin"}
+	reply := &kcrwire.Reply{Error: "expected lend, permit, origin or share"}
 	switch k := req.GetKind().(type) {
 	case *kcrwire.Request_Lend:
 		reply = h.handleLend(k.Lend)
@@ -120,6 +122,8 @@
 		reply = h.handlePermit(k.Permit)
 	case *kcrwire.Request_Origin:
 		reply = h.handleOrigin(k.Origin)
+	case *kcrwire.Request_Share:
+		reply = h.handleShare(k.Share)
 	}
 	if err := s.Send(reply); err != nil {
 		h.config.Logger.Info("reply to a router not sent", "err", err.Error())
@@ -292,6 +296,7 @@
 		h.wg.Go(func() { h.close(ctx, home) })
 	}
 	h.wg.Wait()
+	h.pool.Close()
 }
 
 // Kill ends the host as a crash of its process would: no escrow is returned. It exists for
@@ -299,6 +304,7 @@
 func (h *Host) Kill() {
 	h.cancel()
 	h.server.Close()
+	h.pool.Close()
 	h.mu.Lock()
 	h.stopped = true
 	homes := h.homes
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -88,6 +88,8 @@
 	homes             *homeDirectory
 	permits           *permitDesk
 	origins           *originDesk
+	loads             *loadDesk
+	zone              kcrid.Zone
 	loans             prometheus.Counter // loans started
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
@@ -139,6 +141,8 @@
 		homes:         newHomeDirectory(),
 		permits:       newPermitDesk(),
 		origins:       newOriginDesk(),
+		loads:         newLoadDesk(),
+		zone:          c.Zone,
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
@@ -169,6 +173,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.wg.Go(func() { n.fetchFromPeers(ctx, c.PeerAddrs) })
+	n.wg.Go(func() { n.shareLoads(ctx) })
 	n.wg.Go(func() { kcrdaemon.RunEvery(ctx, tickInterval, func(context.Context) { n.tick() }) })
 	return n, nil
 }
@@ -318,6 +323,7 @@
 	var upstreams []kcrplacement.Upstream
 	var homes, leaving []string
 	beside := map[kcrid.VM]string{}
+	homesByZone := map[kcrid.Zone][]string{}
 	homesByVersion, leavingByVersion := map[string][]string{}, map[string][]string{}
 	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
@@ -334,6 +340,7 @@
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
 			beside[m.ID] = m.Home
+			homesByZone[m.Zone] = append(homesByZone[m.Zone], m.Home)
 			homesByVersion[m.Version] = append(homesByVersion[m.Version], m.Home)
 		}
 	}
@@ -341,6 +348,7 @@
 	if rules != nil && n.fleet.HasMembers() {
 		n.homes.update(n.clock.Now(), homes, leaving)
 		n.permits.update(beside)
+		n.loads.update(homesByZone)
 		n.origins.update(homesByVersion, leavingByVersion)
 	}
 }
@@ -426,7 +434,15 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans)
+	c.Metrics.MustRegister(n.loans, n.loads.calls)
+	gauge("kcr_loads_age_seconds", "Mean age of what is known of the load of other routers.", func() float64 {
+		age, _ := n.loads.state(n.clock.Now())
+		return age.Seconds()
+	})
+	gauge("kcr_loads_upstreams", "Upstreams in the last digest of the load of other routers.", func() float64 {
+		_, known := n.loads.state(n.clock.Now())
+		return float64(known)
+	})
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_config_version", "Version of the configuration in force.", func() float64 {
