Merge the load of other routers with the model of engines

What the model knows already is not counted twice: requests that wait are those its engine awaits, memory is what a router's requests take of it at most, and the length of requests is the mean time of a run.

--- a/kernel/kcrplacement/memory.go
+++ b/kernel/kcrplacement/memory.go
@@ -67,12 +67,13 @@
 	m.turn()
 }
 
-// fill returns the share of an engine's memory that this router's requests take, up to 1.
-func (m *memory) fill(capacity kcrid.Tokens) float64 {
+// fill returns the share of an engine's memory that the requests of this router and a number of
+// tokens of others take, up to 1.
+func (m *memory) fill(others float64, capacity kcrid.Tokens) float64 {
 	if capacity <= 0 {
 		return 0
 	}
-	return min(1, float64(m.running)/float64(capacity))
+	return min(1, (float64(m.running)+others)/float64(capacity))
 }
 
 // fits reports whether an engine can hold the request at its longest.
--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -6,6 +6,7 @@
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrload"
 )
 
 // This file defines what a router knows of one upstream from its own requests: its load,
@@ -58,6 +59,7 @@
 type upstream struct {
 	Upstream
 	hash      uint64            // of the ID
+	key       kcrload.Key       // of this start
 	longPool  bool              // belongs to the long-prompt pool
 	inflight  int               // requests of this router
 	backlog   kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
@@ -72,6 +74,7 @@
 	lost      bool          // may have ended, and counts as cold once it is reached again
 	lostAt    kcrclock.Time // when that was seen last
 	memory    memory        // as far as this router fills it
+	others    othersLoad    // of other routers
 	rateLimit RateLimit     // as it named it last
 	heardAt   atomic.Int64  // when it last sent something, as a kcrclock.Time; 0 for never
 
@@ -131,6 +134,7 @@
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	c.endTrial(now, true)
+	c.learnFirstTime(now)
 	c.releaseBacklog()
 	c.answered(now)
 	c.state.backoff = 0
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -62,6 +62,8 @@
 	permits   *kcrpermit.Issuer // for upstreams with a rate limit
 	origins   *kcrorigin.Register
 	answers   *answers // to loans and returns
+	collector *collectorDesk
+	pool      *kcrlink.Pool // to other hosts
 	server    *kcrlink.Server
 	lossLines kcrdaemon.LineLimit
 	cancel    context.CancelFunc
@@ -102,7 +104,7 @@
 // New starts a host. It opens no home until a router asks for a loan.
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
-	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), answers: newAnswers(), homes: map[kcrid.Bucket]*bucketHome{}}
+	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), answers: newAnswers(), collector: newCollectorDesk(), pool: kcrlink.NewPool(), homes: map[kcrid.Bucket]*bucketHome{}}
 	if h.server, err = kcrlink.ListenWithin(c.ListenAddr, kcrmemory.New(c.Machine.Home()), h.noteLostSession, h.handleRequest); err != nil {
 		return nil, err
 	}
@@ -124,7 +126,7 @@
 
 // handleRequest answers a request of a router.
 func (h *Host) handleRequest(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
-	reply := &kcrwire.Reply{Error: "expected lend, permit or origin"}
+	reply := &kcrwire.Reply{Error: "expected lend, permit, origin or share"}
 	switch k := req.GetKind().(type) {
 	case *kcrwire.Request_Lend:
 		reply = h.handleLend(k.Lend)
@@ -132,6 +134,8 @@
 		reply = h.handlePermit(k.Permit)
 	case *kcrwire.Request_Origin:
 		reply = h.handleOrigin(k.Origin)
+	case *kcrwire.Request_Share:
+		reply = h.handleShare(k.Share)
 	}
 	if err := s.Send(reply); err != nil {
 		h.config.Logger.Info("reply to a router not sent", "err", err.Error())
@@ -320,6 +324,7 @@
 		h.wg.Go(func() { h.close(ctx, home) })
 	}
 	h.wg.Wait()
+	h.pool.Close()
 }
 
 // Kill ends the host as a crash of its process would: no escrow is returned. It exists for
@@ -327,6 +332,7 @@
 func (h *Host) Kill() {
 	h.cancel()
 	h.server.Close()
+	h.pool.Close()
 	h.mu.Lock()
 	h.stopped = true
 	homes := h.homes
