--- a/kernel/kcrplacement/ranking.go
+++ b/kernel/kcrplacement/ranking.go
@@ -41,8 +41,8 @@
 const cooldownCost = 1e9
 
 // preferred returns the upstream that all routers prefer for the longest shared prefix, by
-// rendezvous hashing over those that take the request, are not in cooldown and have no rate
-// limit. It returns nil for a request that shares nothing.
+// rendezvous hashing over those that take the request, are not in cooldown or overrun and
+// have no rate limit. It returns nil for a request that shares nothing.
 func (s *service) preferred(now kcrclock.Time, req *Request) (best *upstream) {
 	if len(req.PromptParts) < 2 {
 		return nil
@@ -50,7 +50,7 @@
 	lastShared := req.PromptParts[len(req.PromptParts)-2].ID
 	lowest, longPool := math.Inf(1), s.usesLongPool(req)
 	for _, u := range s.upstreams {
-		if now < u.retryAt || u.longPool != longPool || u.rateLimit.Named || !s.takes(now, u, req) {
+		if now < u.retryAt || u.longPool != longPool || u.rateLimit.Named || !s.takes(now, u, req) || s.isOverrun(now, u) {
 			continue
 		}
 		if score := u.engine.score(mix(lastShared^u.hash), lowest); score < lowest {
@@ -83,9 +83,10 @@
 	if u.Zone != t.zone {
 		cost += w.CrossZoneByte * float64(req.TransferBytes)
 	}
-	utilization := max(float64(u.inflight)/float64(max(1, u.Slots)), u.memory.fill(u.Capacity))
+	utilization := max(float64(u.inflight)/float64(max(1, u.Slots)), u.memory.fill(0, u.Capacity))
 	cost += w.FullUpstream * utilization * utilization
 	cost += w.FailureRate * u.failureRate(now)
+	cost += s.othersCost(now, u, w)
 	if now < u.warmAt {
 		cost += w.ExcessLatency
 	}
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -17,6 +17,7 @@
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrload"
 )
 
 // This file defines the table of upstreams and the choice of one for an attempt.
@@ -72,8 +73,10 @@
 	line         line                   // the pace of its usual upstream
 	meanSlowness float64                // average over the upstreams, as a logarithm, as of refreshedAt
 	refreshedAt  kcrclock.Time
-	rotation     int  // offset at which the next scan of the upstreams begins
-	listed       bool // a list with upstreams was applied
+	rotation     int       // offset at which the next scan of the upstreams begins
+	listed       bool      // a list with upstreams was applied
+	firstTime    float64   // mean ms from the choice to the first event, 0 before the first
+	others       *meanLoad // of other routers as of the last digest, nil before the first
 }
 
 // Table is one router's view of all upstreams. It is safe for concurrent use.
@@ -138,7 +141,7 @@
 		state := previous[u.ID]
 		started := state == nil || state.StartedAt != u.StartedAt || state.Addr != u.Addr
 		if started {
-			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), memory: newMemory()}
+			state = &upstream{hash: xxhash.Sum64String(string(u.ID)), key: kcrload.KeyOf(u.ID, u.StartedAt), memory: newMemory()}
 		}
 		state.learn(now, u, started && s.listed)
 		s.byID[u.ID] = state
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -95,6 +95,8 @@
 	permits           *permitDesk
 	origins           *originDesk
 	zones             *zoneDesk
+	loads             *loadDesk
+	zone              kcrid.Zone
 	loans             prometheus.Counter // loans started
 	lostSessions      prometheus.Counter
 	lossLines         kcrdaemon.LineLimit
@@ -158,6 +160,8 @@
 		permits:       newPermitDesk(),
 		origins:       newOriginDesk(),
 		zones:         newZoneDesk(),
+		loads:         newLoadDesk(),
+		zone:          c.Zone,
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
 		lostSessions:  prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_sessions_lost_total", Help: "Sessions of other processes that lost their place or got none."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
@@ -191,6 +195,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.wg.Go(func() { n.fetchFromPeers(ctx, c.PeerAddrs) })
+	n.wg.Go(func() { n.shareLoads(ctx) })
 	n.wg.Go(func() { kcrdaemon.RunEvery(ctx, tickInterval, func(context.Context) { n.tick() }) })
 	return n, nil
 }
@@ -341,6 +346,7 @@
 	var homes, leaving []string
 	var emptied, open []kcrfleet.Member
 	beside := map[kcrid.VM]string{}
+	homesByZone := map[kcrid.Zone][]string{}
 	homesByVersion, leavingByVersion := map[string][]string{}, map[string][]string{}
 	rules := n.rules.Rules()
 	for _, m := range n.fleet.Members() {
@@ -369,6 +375,7 @@
 		if rules != nil && m.Home != "" && rules.HasEngines(m.Service) {
 			homes = append(homes, m.Home)
 			beside[m.ID] = m.Home
+			homesByZone[m.Zone] = append(homesByZone[m.Zone], m.Home)
 			homesByVersion[m.Version] = append(homesByVersion[m.Version], m.Home)
 		}
 	}
@@ -377,6 +384,7 @@
 	if rules != nil && n.fleet.HasMembers() {
 		n.homes.update(n.clock.Now(), homes, leaving)
 		n.permits.update(beside)
+		n.loads.update(homesByZone)
 		n.origins.update(homesByVersion, leavingByVersion)
 	}
 }
@@ -462,7 +470,15 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans, n.lostSessions, &paceCollector{paces: n.table.Paces})
+	c.Metrics.MustRegister(n.loans, n.lostSessions, n.loads.calls, &paceCollector{paces: n.table.Paces})
+	gauge("kcr_loads_age_seconds", "Mean age of what is known of the load of other routers.", func() float64 {
+		age, _ := n.loads.state(n.clock.Now())
+		return age.Seconds()
+	})
+	gauge("kcr_loads_upstreams", "Upstreams in the last digest of the load of other routers.", func() float64 {
+		_, known := n.loads.state(n.clock.Now())
+		return float64(known)
+	})
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_emptied_zones", "Zones that the operator has emptied.", func() float64 { return float64(n.zones.orders.Count()) })
