Lint: a cache of each working copy

Cause: the linter's shared cache names files of the working copy that filled it. Change: the cache lies in build/, which each copy has for itself. Result: make lint on a machine with empty caches: 0 issues.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PROGRAMS := router sidecar kingcuprun standin bench
 LINT_VERSION := v2.12.0
 LINT := $(CURDIR)/bin/golangci-lint-$(LINT_VERSION)
+# The linter's cache keeps paths of files: shared between working copies, it names files that are gone.
+export GOLANGCI_LINT_CACHE := $(CURDIR)/build/lint
 GOPLS_VERSION := v0.23.0
 GOPLS := $(CURDIR)/bin/gopls-$(GOPLS_VERSION)
 
