Routers: a router that starts learns of the crashes before it sends requests

As the store was back, routers had the configuration 50 ms later and read the peer stream 150 ms after that; requests that were known to crash upstreams ended some in between. A router that starts in an outage and gets the configuration from a peer knew no crash at all.

Change: a peer sends what it knows of crashes with a configuration; requests wait until the log or a peer has told, at most 500 ms after the first configuration.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -91,6 +91,8 @@
 	OnLeaving func(kcrid.Incarnation)
 	// OnCrash is called with each crash that Crashes counts.
 	OnCrash func(kcrcrash.Crash)
+	// AwaitCrashes waits for a moment if it is not known yet what crashes upstreams.
+	AwaitCrashes func()
 	// OnContentCleared is called with a content of Crashes that other routers must clear.
 	OnContentCleared func(kcrid.ContentHash)
 	// OnPartLevels is called with the levels of PartSuspects that other routers must know.
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -69,6 +69,7 @@
 		return x.refuse(statusUnavailable, "the router stops", retryAfterShort)
 	}
 	x.content = kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body...)
+	x.gateway.config.AwaitCrashes()
 	if reason := x.banReason(); reason != "" {
 		return x.refuse(statusUnavailable, reason, retryAfterLong)
 	}
--- a/router/kcrnode/crashes.go
+++ b/router/kcrnode/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrcrash"
@@ -11,8 +12,9 @@
 )
 
 // This file shares with the other routers which requests and parts of prompts crash upstreams.
-// Invariant: what an upstream's crash has counted is undone once its entry shows that it still
-// runs; each router decides that for itself.
+// Invariants: what an upstream's crash has counted is undone once its entry shows that it still
+// runs; each router decides that for itself. A router that has just started sends requests only
+// once it has learned of the crashes, or as neither the log nor a peer told of them in time.
 
 // reportCrash tells the other routers that a request crashed an upstream.
 func (n *Node) reportCrash(c kcrcrash.Crash) {
@@ -128,10 +130,33 @@
 // snapshotCrashes returns the encoded crashes, as of the last record of the peer stream.
 func (n *Node) snapshotCrashes() (kcrid.Offset, []byte, error) {
 	at := n.peers.At()
-	state, err := json.Marshal(crashState{Crashes: n.crashes.NewestCrashes(maxSnapshotCrashes), Parts: n.partSuspects.Newest(maxSnapshotCrashes)})
+	state, err := json.Marshal(n.crashState())
 	return at, state, err
 }
 
+// crashState returns the newest crashes.
+func (n *Node) crashState() crashState {
+	return crashState{Crashes: n.crashes.NewestCrashes(maxSnapshotCrashes), Parts: n.partSuspects.Newest(maxSnapshotCrashes)}
+}
+
+// maxCrashWait is how long after its first configuration a router waits until it learns of the
+// crashes. It allows for a read of the log that fails and another one.
+const maxCrashWait = 500 * kcrclock.Millisecond
+
+// awaitCrashes waits until this router has learned of the crashes, or maxCrashWait is over.
+func (n *Node) awaitCrashes() {
+	left := n.configuredAt.Load() + int64(maxCrashWait) - int64(n.clock.Now())
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(kcrclock.Duration(left).Std())
+	defer timer.Stop()
+	select {
+	case <-n.crashesLearned:
+	case <-timer.C:
+	}
+}
+
 // writesCrashes reports whether this router writes the snapshots of the peer stream. None are
 // written before any upstream has crashed.
 func (n *Node) writesCrashes() bool {
@@ -144,6 +169,13 @@
 	if err := json.Unmarshal(data, &state); err != nil {
 		return false, err
 	}
+	n.addCrashes(state)
+	n.logger.Info("crashes read from a snapshot", "crashes", len(state.Crashes), "parts", len(state.Parts))
+	return true, nil
+}
+
+// addCrashes adds the crashes of a snapshot or of a peer.
+func (n *Node) addCrashes(state crashState) {
 	for _, crash := range state.Crashes {
 		if counted, _ := n.crashes.RecordReport(crash); counted {
 			n.noteCrash(crash.Upstream)
@@ -153,8 +185,6 @@
 		n.partSuspects.Raise(level)
 		n.noteCrash(level.Upstream)
 	}
-	n.logger.Info("crashes read from a snapshot", "crashes", len(state.Crashes), "parts", len(state.Parts))
-	return true, nil
 }
 
 // retractCrashes undoes the crashes of upstreams that still run.
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -85,6 +85,9 @@
 	partSuspects      *kcrcrash.PartSuspects // parts of prompts that crash upstreams
 	crashReview       *kcrcrash.Review       // upstreams that count as crashed
 	crashesKnown      atomic.Bool            // a crash was counted or reported
+	crashesLearned    chan struct{}          // closed once the log or a peer has told of the crashes
+	markLearned       func()                 // closes crashesLearned
+	configuredAt      atomic.Int64           // time of the first configuration
 	gateway           *kcrgateway.Gateway
 	buckets           []*bucket
 	peers             *kcrpeer.Registry
@@ -169,6 +172,8 @@
 		coldBounds:    c.ColdBounds,
 		parseRules:    c.ParseRules,
 	}
+	n.crashesLearned = make(chan struct{})
+	n.markLearned = sync.OnceFunc(func() { close(n.crashesLearned) })
 	n.configUnavailable.Store(true)
 	n.DoubtConfig()
 	if c.ControlAddr != "" {
@@ -178,7 +183,7 @@
 	}
 	n.gateway, err = kcrgateway.New(kcrgateway.Config{
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
-		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
+		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared, AwaitCrashes: n.awaitCrashes,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
@@ -245,6 +250,7 @@
 		return err
 	}
 	r.Source = raw
+	n.configuredAt.CompareAndSwap(0, int64(started))
 	if !n.rules.Apply(r) {
 		n.logger.Info("configuration ignored: not newer than the one in force", "version", r.Version, "inforce", n.rules.Rules().Version)
 		return nil
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -16,7 +16,7 @@
 
 // This file defines the exchange of state between routers. A router asks its peers
 // for the configuration and the orders for zones while the store does not provide them, and for
-// the members if the store has never answered. Invariants: a configuration is applied only if its
+// the members if the store has never answered; with a configuration it gets the crashes. Invariants: a configuration is applied only if its
 // version is higher, whatever its source; members that came from the store are not
 // replaced by those of a peer.
 
@@ -24,6 +24,7 @@
 type peerState struct {
 	Config  json.RawMessage   `json:"config"`
 	Members []kcrfleet.Member `json:"members"`
+	Crashes crashState        `json:"crashes"`
 }
 
 // Timing of requests to peers.
@@ -66,7 +67,7 @@
 	}
 	listed := &kcrwire.Listed{Zones: zones}
 	if r := n.rules.Rules(); r != nil && r.Version > req.GetAt() {
-		state, err := json.Marshal(peerState{Config: r.Source, Members: n.fleet.Members()})
+		state, err := json.Marshal(peerState{Config: r.Source, Members: n.fleet.Members(), Crashes: n.crashState()})
 		if err != nil {
 			return &kcrwire.Reply{Error: err.Error()}
 		}
@@ -119,6 +120,7 @@
 		},
 		MarkReady: func() {
 			n.peers.MarkReady()
+			n.markLearned()
 			if n.bansLost.Swap(false) {
 				n.tellBans()
 			}
@@ -179,6 +181,8 @@
 		n.logger.Warn("state of a peer ignored", "peer", addr, "err", err.Error())
 		return
 	}
+	n.addCrashes(state.Crashes)
+	n.markLearned()
 	if n.fleet.AdoptFromPeer(state.Members) {
 		n.logger.Info("members learned from a peer", "peer", addr, "members", len(state.Members))
 	}
