Check: a version in the store, upstreams, retries and unknown kinds

Cause: the check of a configuration compared with a file only, knew neither the settings of routers nor the upstreams, and passed a mistyped kind, whose requests routers run at most once.

A kind that the decoder does not know is a warning at its place.

--- a/kernel/kcrcheck/check.go
+++ b/kernel/kcrcheck/check.go
@@ -60,14 +60,16 @@
 
 // checker collects the findings about a draft.
 type checker struct {
-	draft    kcrrule.Draft
-	services map[kcrid.Service]kcrrule.Service
-	findings []Finding
+	draft      kcrrule.Draft
+	deployment Deployment
+	services   map[kcrid.Service]kcrrule.Service
+	findings   []Finding
 }
 
-// Check returns the findings about a configuration, by kind of entry and then in its order.
-func Check(d kcrrule.Draft) []Finding {
-	c := &checker{draft: d, services: map[kcrid.Service]kcrrule.Service{}}
+// Check returns the findings about a configuration for a deployment, by kind of entry and then in
+// its order.
+func Check(d kcrrule.Draft, deployment Deployment) []Finding {
+	c := &checker{draft: d, deployment: deployment, services: map[kcrid.Service]kcrrule.Service{}}
 	for _, s := range d.Services {
 		c.services[s.Name] = s
 	}
@@ -116,6 +118,7 @@
 		if s.KVCapacity > 0 && s.Slots <= 0 {
 			c.report(Warning, Service, i, "Slots", "expected slots of an engine above 0, got %d", s.Slots)
 		}
+		c.checkRestart(i, &s)
 		if s.MaxEventTokens > s.KVCapacity && s.KVCapacity > 0 {
 			c.report(Warning, Service, i, "MaxEventTokens", "an event of %d tokens is larger than the memory of an engine, %d", s.MaxEventTokens, s.KVCapacity)
 		}
@@ -233,6 +236,10 @@
 
 // checkRuns checks how often requests of a route may run.
 func (c *checker) checkRuns(i int, r *kcrrule.Route) {
+	if kind, unknown := c.draft.UnknownKinds[i]; unknown {
+		c.report(Warning, Route, i, "Kind", "route %q: kind %q is not known: its requests run at most once", r.Name, kind)
+	}
+	c.checkUpstreams(i, r)
 	switch {
 	case r.MaxRuns > 1 && !r.Rerunnable():
 		c.report(Warning, Route, i, "MaxRuns", "route %q allows %d runs of requests that may run once only", r.Name, r.MaxRuns)
--- a/kernel/kcrcheck/compare.go
+++ b/kernel/kcrcheck/compare.go
@@ -58,20 +58,24 @@
 	}
 }
 
-// Compare returns what differs in a configuration from the one that it would replace. It returns
-// a finding as well if it would not replace it.
-func Compare(from, to kcrrule.Draft) (changes []Change, findings []Finding) {
-	c := &comparison{from: from.Rules(), to: to.Rules()}
-	if to.Version <= from.Version {
-		findings = append(findings, Finding{Error, Place{Kind: Version}, fmt.Sprintf("expected a version above %d, which is in force, got %d: it would be ignored", from.Version, to.Version)})
+// CheckVersion returns a finding if a configuration would not replace the version in force.
+func CheckVersion(inForce uint64, d kcrrule.Draft) []Finding {
+	if d.Version > inForce {
+		return nil
 	}
+	return []Finding{{Error, Place{Kind: Version}, fmt.Sprintf("expected a version above %d, which is in force, got %d: it would be ignored", inForce, d.Version)}}
+}
+
+// Compare returns what differs in a configuration from another version.
+func Compare(from, to kcrrule.Draft) []Change {
+	c := &comparison{from: from.Rules(), to: to.Rules()}
 	c.compareRoutes(from, to)
 	c.compareServices(to)
 	c.compareKeys(from, to)
 	c.compareTeams(from, to)
 	c.compareLimits(from.Limits, to.Limits)
 	slices.SortStableFunc(c.changes, func(a, b Change) int { return cmp.Compare(a.Effect, b.Effect) })
-	return c.changes, findings
+	return c.changes
 }
 
 // routesByPlace returns the routes that can match, by host and prefix, and the places in order.
--- a/kernel/kcrrule/rule.go
+++ b/kernel/kcrrule/rule.go
@@ -106,6 +106,9 @@
 	Services []Service
 	Teams    []Team
 	Routes   []Route
+	// UnknownKinds are the kinds of routes that the decoder does not know, by the index of the
+	// route. Requests of such a route run at most once.
+	UnknownKinds map[int]string
 }
 
 // Rules builds the rules of the draft.
--- a/kingcuprun/kcroperate/command.go
+++ b/kingcuprun/kcroperate/command.go
@@ -1,6 +1,7 @@
 package kcroperate
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,6 +19,7 @@
 	"kingcuprun.example/kingcuprun/kcrstory"
 	"kingcuprun.example/link/kcrplatform"
 	"kingcuprun.example/link/kcrsettings"
+	"kingcuprun.example/platform/kcrboot"
 	"kingcuprun.example/platform/kcrvet"
 )
 
@@ -46,7 +48,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.PersistentFlags().StringVar(&c.settingsFile, "settings", "", "settings file of the deployment")
+	root.PersistentFlags().StringVar(&c.settingsFile, "settings", "", "settings file of the deployment; for a check on the platform, that of a router")
 	root.AddCommand(c.checkCommand(), c.publishCommand(), c.leaveCommand(), c.showCommand(), c.explainCommand(), dayCommand(), digestCommand())
 	return root
 }
@@ -90,9 +92,10 @@
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) == 1 {
+				flags.Settings = cmp.Or(c.settingsFile, os.Getenv(kcrboot.PathVariable))
 				return flags.Run(cmd, args[0])
 			}
-			if flags.InForce != "" {
+			if flags.Against != "" {
 				return errors.New("flag --against: expected a configuration to compare with it, got none")
 			}
 			configs, err := c.parseLists()
