--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	if !c.place.enter(kcrmemory.Starting) {
+		c.rejectBody(errNoPlace)
 		return false
 	}
 	g.setBusy(c.conn, true)
@@ -98,12 +99,15 @@
 }
 
 // awaitRequest waits for the first byte of the next request, and reports whether it has
-// arrived. Where a planned stop ends the wait, a request may have arrived at the same
-// time, so it looks once more.
+// arrived. Where a planned stop or the loss of its place ends the wait, a request may have
+// arrived that is not read yet, so it looks once more.
 func (g *Gateway) awaitRequest(c *callerConn, timeout kcrclock.Duration) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout.Std()))
+	if c.place.holder.Lost() {
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // it lost its place before the line above
+	}
 	_, err := c.br.Peek(1)
-	if err != nil && g.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && (g.stopping.Load() || c.place.holder.Lost()) && errors.Is(err, os.ErrDeadlineExceeded) {
 		_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
 		_, err = c.br.Peek(1)
 	}
--- a/router/kcrgateway/place.go
+++ b/router/kcrgateway/place.go
@@ -72,8 +72,8 @@
 func (p *place) end(stage kcrmemory.Stage) {
 	p.gateway.noteLoss(p.conn, stage.String(), "place lost")
 	switch stage {
-	case kcrmemory.Sending:
-		_ = p.conn.SetReadDeadline(time.Unix(1, 0)) // it gets a response
+	case kcrmemory.Silent, kcrmemory.Idle, kcrmemory.Sending:
+		_ = p.conn.SetReadDeadline(time.Unix(1, 0)) // a request that has come gets a response
 	case kcrmemory.Behind:
 		_ = p.conn.SetWriteDeadline(time.Unix(1, 0))
 		p.gateway.abandonExchange(p.conn)
@@ -198,10 +198,10 @@
 	p.gateway.memory.Shrink(p.holder, kcrmemory.Streams, behindBytes)
 }
 
-// noteRejection records a rejected request.
+// noteRejection records a rejected request, unless the loss of its place is recorded.
 func (p *place) noteRejection(err error) {
 	var rejection *kcrhttp.ProtocolError
-	if errors.As(err, &rejection) && rejection != errPlaceLost {
+	if errors.As(err, &rejection) && rejection != errPlaceLost && rejection != errNoPlace {
 		p.gateway.noteLoss(p.conn, kcrmemory.Sending.String(), rejection.Text)
 	}
 }
--- a/router/kcrgateway/reject.go
+++ b/router/kcrgateway/reject.go
@@ -12,9 +12,10 @@
 // This file reads the bodies of requests and rejects requests that are not read to their end.
 // Invariants: a rejected request has not run; the connection ends after its rejection.
 
-// Rejections of requests whose body is not read to its end.
+// Rejections of requests that are not read to their end.
 var (
 	errNoRoom    = &kcrhttp.ProtocolError{Status: statusUnavailable, Text: "no memory for the body"}
+	errNoPlace   = &kcrhttp.ProtocolError{Status: statusUnavailable, Text: "no place for the connection"}
 	errPlaceLost = &kcrhttp.ProtocolError{Status: statusRequestTimeout, Text: "the request made too little progress"}
 	errTooSlow   = &kcrhttp.ProtocolError{Status: statusRequestTimeout, Text: "the body did not end in time"}
 )
