A router whose link is full of what comes in is not ready

Cause: the balancer chooses routers by a hash of the caller, so a hot tenant's callers all come through one router. Refusals don't help: what comes in is there before it can be refused. Ruled out: what is sent (half of the link), the store (its reads are a tenth), a harmed link. Change: kcradmission.Inflow counts what callers and upstreams send. While it fills the link the router is not ready, and its responses end their connections; callers come back elsewhere.

--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -45,7 +45,7 @@
 // serveConn serves requests until the connection ends.
 func (g *Gateway) serveConn(conn net.Conn, p *place) {
 	defer func() { _ = conn.Close() }()
-	c := &callerConn{conn: conn, place: p, sent: g.recordSent, br: bufio.NewReaderSize(conn, callerBufSize)}
+	c := &callerConn{conn: conn, place: p, sent: g.recordSent, br: bufio.NewReaderSize(g.counted(conn), callerBufSize)}
 	for g.serveRequest(c) {
 	}
 }
@@ -79,7 +79,7 @@
 	}
 	x := &exchange{gateway: g, caller: c, head: head, started: g.clock.Now(), cancelled: make(chan struct{})}
 	g.setExchange(c.conn, x)
-	x.closeAfter = !head.KeepAlive()
+	x.closeAfter = !head.KeepAlive() || g.LinkIsFull()
 	defer x.release()
 	if err := x.readBody(limits.MaxBodyBytes); err != nil {
 		c.rejectBody(err)
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -118,8 +118,9 @@
 	table          *kcrplacement.Table
 	startedAt      kcrclock.Time
 	pool           *pool
-	link           *kcradmission.Link
-	watch          *kcrcrash.Watch // upstreams on which runs ended without a response
+	link           *kcradmission.Link   // what is sent
+	inflow         *kcradmission.Inflow // what comes in
+	watch          *kcrcrash.Watch      // upstreams on which runs ended without a response
 	metrics        *metrics
 	listener       net.Listener
 	stopping       atomic.Bool
@@ -162,15 +163,16 @@
 		rules:        c.Rules,
 		table:        c.Upstreams,
 		startedAt:    c.Clock.Now(),
-		pool:         newPool(c.Machine.Upstreams()),
 		memory:       kcrmemory.New(c.Machine.Callers()),
 		watch:        kcrcrash.NewWatch(),
 		link:         kcradmission.NewLink(c.LinkBytesPerSecond),
+		inflow:       kcradmission.NewInflow(c.LinkBytesPerSecond),
 		acceptDone:   make(chan struct{}),
 		conns:        map[net.Conn]*connState{},
 		retryWindows: map[kcrid.Service]*kcrroute.RetryWindow{},
 		admissions:   map[kcrid.Service]*admission{},
 	}
+	g.pool = newPool(c.Machine.Upstreams(), g.counted)
 	g.metrics = newMetrics(c.Metrics, g.memory)
 	listen := net.ListenConfig{Control: setCallerBuffers}
 	if g.listener, err = listen.Listen(context.Background(), "tcp", c.ListenAddr); err != nil {
@@ -181,6 +183,7 @@
 	g.goroutines.Go(g.acceptLoop)
 	g.goroutines.Go(func() { g.sweepLoop(ctx) })
 	g.goroutines.Go(func() { g.runAdmission(ctx) })
+	g.goroutines.Go(func() { g.watchInflow(ctx) })
 	g.goroutines.Go(func() { kcrdaemon.RunEvery(ctx, checkInterval, g.checkDue) })
 	return g, nil
 }
--- a/router/kcrgateway/metrics.go
+++ b/router/kcrgateway/metrics.go
@@ -16,6 +16,7 @@
 	totalLatency *prometheus.HistogramVec // until the end of the response
 	dials        prometheus.Counter       // new connections to upstreams
 	linkRefusals prometheus.Counter       // requests refused since the router's link was full
+	linkFull     prometheus.Gauge         // 1 while what comes in fills the router's link
 	losses       *prometheus.CounterVec   // places of callers' connections lost, by stage
 	permits      *prometheus.CounterVec   // asked for, by service and whether they were granted
 	waits        *prometheus.CounterVec   // of requests for a place, by service
@@ -40,10 +41,11 @@
 		dials:        prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_gateway_dials_total", Help: "New connections to upstreams."}),
 		permits:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_permits_total", Help: "Permits asked for requests to upstreams with a rate limit."}, []string{serviceLabel, "granted"}),
 		linkRefusals: prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_link_refusals_total", Help: "Requests refused since too much waited at the link of the router."}),
+		linkFull:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "kcr_link_full", Help: "1 while what comes in fills the link of the router, which is not ready then."}),
 		losses:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_places_lost_total", Help: "Connections of callers that lost their place or got none, by what they were doing."}, []string{"stage"}),
 		waits:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_gateway_waits_total", Help: "Requests that waited, or were refused, since no upstream of their service had a place."}, []string{serviceLabel}),
 	}
-	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.waits, m.losses, m.linkRefusals)
+	registry.MustRegister(m.responses, m.attempts, m.firstLatency, m.totalLatency, m.dials, m.permits, m.waits, m.losses, m.linkRefusals, m.linkFull)
 	for _, kind := range kcrmemory.Kinds() {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "kcr_held_bytes", Help: "Bytes held for callers.", ConstLabels: prometheus.Labels{"kind": kind.String()}}, func() float64 { return float64(memory.Bytes(kind)) }))
 	}
--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -62,16 +63,19 @@
 type pool struct {
 	dialer  net.Dialer
 	maxOpen int
-	open    atomic.Int64 // connections that are open or being opened
+	counted func(io.Reader) io.Reader // counts what is read
+	open    atomic.Int64              // connections that are open or being opened
 
 	mu   sync.Mutex
 	idle map[string][]*upstreamConn // by VM and address, most recently used last
 }
 
-// newPool returns a pool that has up to maxOpen connections open, with those that it gave out.
-func newPool(maxOpen int) *pool {
+// newPool returns a pool that has up to maxOpen connections open, with those that it gave out. What
+// is read from them goes through counted.
+func newPool(maxOpen int, counted func(io.Reader) io.Reader) *pool {
 	return &pool{
 		maxOpen: maxOpen,
+		counted: counted,
 		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUpstreamOptions},
 		idle:    map[string][]*upstreamConn{},
 	}
@@ -160,7 +164,7 @@
 		p.open.Add(-1)
 		return nil, err
 	}
-	return &upstreamConn{Conn: conn, pool: p, br: bufio.NewReaderSize(conn, upstreamBufSize), vm: vm, addr: addr, keepAlive: defaultKeepAlive}, nil
+	return &upstreamConn{Conn: conn, pool: p, br: bufio.NewReaderSize(p.counted(conn), upstreamBufSize), vm: vm, addr: addr, keepAlive: defaultKeepAlive}, nil
 }
 
 // closeOneIdle closes an idle connection, and reports whether there was one.
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -393,7 +393,7 @@
 // Ready reports whether the node can serve callers: it has a configuration, knows
 // the upstreams and is not stopping.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.rules.Rules() != nil && n.fleet.HasMembers()
+	return !n.stopping.Load() && n.rules.Rules() != nil && n.fleet.HasMembers() && !n.gateway.LinkIsFull()
 }
 
 // Stop is a planned stop that cuts off no request before the deadline of ctx. The
