Fleet: of several upstreams with one address, only the latest start is used

Cause: the store keeps the entry of an engine that has ended for some heartbeats. After all machines have ended and come back, some 40 engines have successors at their addresses; each router learned of each by a request that got 421, and with no attempts left after its start refused it. Ruled out: cold engines (none refused), the pace after a start.

Change: Fleet.Reachable leaves out upstreams whose address a later start has. Relays and peers still exchange all entries.

TestEndedEnginesAreNotReachable.

--- a/kernel/kcrfleet/fleet.go
+++ b/kernel/kcrfleet/fleet.go
@@ -265,6 +265,23 @@
 	return members
 }
 
+// Reachable returns the upstreams that may run at their addresses, sorted by ID: of several with
+// one address only that which started last. The others have ended, though the store keeps their
+// entries for a while. One whose start is unknown is taken to run.
+func (f *Fleet) Reachable() (members []Member) {
+	all := f.Members()
+	lastStart := map[string]int64{}
+	for _, m := range all {
+		lastStart[m.Addr] = max(lastStart[m.Addr], m.Born)
+	}
+	for _, m := range all {
+		if m.Born == 0 || m.Born == lastStart[m.Addr] {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // listed returns all upstreams, sorted by ID, and their digest.
 func (f *Fleet) listed() (members []Member, digest uint64) {
 	f.mu.Lock()
--- a/kernel/kcrfleet/fleet_test.go
+++ b/kernel/kcrfleet/fleet_test.go
@@ -1,6 +1,7 @@
 package kcrfleet_test
 
 import (
+	"slices"
 	"testing"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -146,3 +147,41 @@
 		}
 	}
 }
+
+// Guards against requests to engines that have ended, whose entries are still in the store, as
+// others run at their addresses.
+func TestEndedEnginesAreNotReachable(t *testing.T) {
+	t.Parallel()
+	entry := func(id kcrid.VM, addr string, born int64, draining bool) kcrfleet.Member {
+		return kcrfleet.Member{ID: id, Service: "s", Addr: addr, Born: born, Sequence: 1, Draining: draining}
+	}
+	for _, tt := range []struct {
+		name    string
+		entries []kcrfleet.Member
+		want    []kcrid.VM
+	}{
+		{"own addresses", []kcrfleet.Member{entry("a", "1", 1, false), entry("b", "2", 2, false)}, []kcrid.VM{"a", "b"}},
+		{"the later start first", []kcrfleet.Member{entry("a", "1", 2, false), entry("b", "1", 1, false)}, []kcrid.VM{"a"}},
+		{"the later start last", []kcrfleet.Member{entry("a", "1", 1, false), entry("b", "1", 2, false)}, []kcrid.VM{"b"}},
+		{"the later start drains", []kcrfleet.Member{entry("a", "1", 1, false), entry("b", "1", 2, true)}, []kcrid.VM{"b"}},
+		{"the same start", []kcrfleet.Member{entry("a", "1", 1, false), entry("b", "1", 1, false)}, []kcrid.VM{"a", "b"}},
+		{"unknown starts", []kcrfleet.Member{entry("a", "1", 0, false), entry("b", "1", 2, false), entry("c", "1", 0, false)}, []kcrid.VM{"a", "b", "c"}},
+	} {
+		f := kcrfleet.New(grace)
+		f.StoreResponded(0)
+		for _, m := range tt.entries {
+			f.ApplyEntry(0, m)
+		}
+		var got []kcrid.VM
+		for _, m := range f.Reachable() {
+			got = append(got, m.ID)
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: expected %v, got %v", tt.name, tt.want, got)
+		}
+		f.Remove(1, tt.want[0])
+		if len(tt.want) == 1 && len(f.Reachable()) != 1 {
+			t.Errorf("%s: expected the earlier one once the entry of the later is gone, got %v", tt.name, f.Reachable())
+		}
+	}
+}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -355,7 +355,7 @@
 	homesByZone := map[kcrid.Zone][]string{}
 	homesByVersion, leavingByVersion := map[string][]string{}, map[string][]string{}
 	rules := n.rules.Rules()
-	for _, m := range n.fleet.Members() {
+	for _, m := range n.fleet.Reachable() {
 		if m.Draining {
 			leaving = append(leaving, m.Home)
 			if m.Home != "" {
