Placement: one answer to when an upstream has a place

Cause: Table.placeAt, Forecast's untilFree and PauseEnd each told when an upstream has a place, and Choose went by a fourth rule: one on trial after a pause counted as free for those that wait, and was not chosen. A refusal set two times, fullUntil and the cooldown retryAt. A waiting request asked NextPlace twice a turn, and each turn built a reason that was thrown away. Change: service.place is what Choose and NextPlace go by, and names what holds a place back; PauseEnd and Forecast, which only a test called, are gone. A refusal sets fullUntil only, and an answer that begins does not end it. The reason is built once, when the request is refused.

--- a/kernel/kcrplacement/engine_test.go
+++ b/kernel/kcrplacement/engine_test.go
@@ -293,31 +293,3 @@
 		t.Errorf("expected no engine for a request larger than its memory, got %s", c.ID)
 	}
 }
-
-// TestForecast checks that a forecast tells the time to the first event, free slots and when a
-// place is expected, and changes nothing.
-func TestForecast(t *testing.T) {
-	t.Parallel()
-	f := newFleet(1, 1, 1)
-	f.run(10*kcrclock.Second, 30, 20)
-	f.run(3*kcrclock.Second, 0, 20)
-	table, req := f.routers[0], sessionRequest(9999, 4000)
-	free, ok := table.Forecast(f.now, req)
-	if again, _ := table.Forecast(f.now, req); !ok || again != free {
-		t.Fatalf("expected two equal forecasts, got %+v and %+v", free, again)
-	}
-	if free.FirstEvent < 100 || free.FirstEvent > 500 || free.FreeSlots != 2*42 || free.NextFree != 0 {
-		t.Errorf("expected a first event after about 200 ms and 84 free places, got %+v", free)
-	}
-	full := free
-	for i := 0; i < 100 && full.FreeSlots > 0; i++ {
-		table.Choose(f.now, req)
-		full, ok = table.Forecast(f.now, req)
-	}
-	if !ok || full.FreeSlots != 0 || full.NextFree < 1 || full.NextFree > 100 || full.FirstEvent < 2*free.FirstEvent {
-		t.Errorf("expected no free slots and a place within 100 ms, got %+v", full)
-	}
-	if _, ok := table.Forecast(f.now, sessionRequest(1, 500000)); ok {
-		t.Error("expected no forecast for a request larger than any memory")
-	}
-}
--- a/kernel/kcrplacement/model.go
+++ b/kernel/kcrplacement/model.go
@@ -63,7 +63,7 @@
 	longPool  bool              // belongs to the long-prompt pool
 	inflight  int               // requests of this router
 	backlog   kcrid.Tokens      // prompt tokens that this router sent and that are not read yet
-	retryAt   kcrclock.Time     // end of the cooldown
+	retryAt   kcrclock.Time     // end of the cooldown after a failure
 	backoff   kcrclock.Duration // last cooldown after a failed connection
 	fails     float64           // failure rate from 0 to 1, as of failsAt
 	failsAt   kcrclock.Time
@@ -78,7 +78,7 @@
 	rateLimit RateLimit     // as it named it last
 	heardAt   atomic.Int64  // when it last sent something, as a kcrclock.Time; 0 for never
 
-	fullUntil     kcrclock.Time // has refused a request a moment before this time
+	fullUntil     kcrclock.Time // end of the cooldown after a refusal
 	withheldUntil kcrclock.Time // with a rate limit, not chosen before this time
 	pausedUntil   kcrclock.Time // wants no requests before this time
 	badPause      bool          // has named a time that makes no sense
@@ -179,7 +179,6 @@
 		u.loses(now)
 		u.recordResult(now, 1)
 	case Refused:
-		u.avoid(now, refusalCooldown)
 		u.fullUntil = now.Add(refusalCooldown)
 	case Misdirected:
 		u.avoid(now, staleAddressCooldown)
@@ -204,5 +203,8 @@
 	u.failsAt = now
 }
 
-// avoid extends the cooldown of the upstream to at least d after t.
+// avoid extends the cooldown after a failure to at least d after t.
 func (u *upstream) avoid(t kcrclock.Time, d kcrclock.Duration) { u.retryAt = max(u.retryAt, t.Add(d)) }
+
+// avoidedUntil returns the end of the cooldown.
+func (u *upstream) avoidedUntil() kcrclock.Time { return max(u.retryAt, u.fullUntil) }
--- a/kernel/kcrplacement/notice.go
+++ b/kernel/kcrplacement/notice.go
@@ -78,10 +78,10 @@
 	return true, notable
 }
 
-// triesEnough reports whether an upstream that is on trial after a pause has as many requests as it
-// may get now.
-func (u *upstream) triesEnough(now kcrclock.Time) bool {
-	return u.onTrial && u.trials > int(now.Sub(u.pausedUntil)/trialStep)
+// triedAt returns when an upstream that has paused may get a request, with those that it got on
+// trial.
+func (u *upstream) triedAt() kcrclock.Time {
+	return u.pausedUntil.Add(kcrclock.Duration(u.trials) * trialStep)
 }
 
 // beginTrial records that an upstream is chosen, and reports whether it is on trial.
@@ -111,21 +111,3 @@
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.Version == version && !s.leaves(u.ID, u.StartedAt) })
 }
-
-// PauseEnd returns when the first upstream of a service takes requests again, if all that don't
-// leave want none now.
-func (t *Table) PauseEnd(now kcrclock.Time, name kcrid.Service) (end kcrclock.Time, paused bool) {
-	s := t.getOrCreateService(name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, u := range s.upstreams {
-		switch {
-		case s.leaves(u.ID, u.StartedAt):
-		case u.pausedUntil <= now:
-			return 0, false
-		case !paused || u.pausedUntil < end:
-			end, paused = u.pausedUntil, true
-		}
-	}
-	return end, paused
-}
--- a/kernel/kcrplacement/ranking.go
+++ b/kernel/kcrplacement/ranking.go
@@ -50,7 +50,7 @@
 	lastShared := req.PromptParts[len(req.PromptParts)-2].ID
 	lowest, longPool := math.Inf(1), s.usesLongPool(req)
 	for _, u := range s.upstreams {
-		if now < u.retryAt || u.longPool != longPool || u.rateLimit.Named || !s.takes(now, u, req) || s.isOverrun(now, u) {
+		if now < u.avoidedUntil() || u.longPool != longPool || u.rateLimit.Named || !s.takes(now, u, req) || s.isOverrun(now, u) {
 			continue
 		}
 		if score := u.engine.score(mix(lastShared^u.hash), lowest); score < lowest {
--- a/kernel/kcrplacement/rate.go
+++ b/kernel/kcrplacement/rate.go
@@ -51,9 +51,16 @@
 	c.state.withheldUntil = max(c.state.withheldUntil, until)
 }
 
-// isWithheld reports whether the limit of the upstream leaves no room at a time.
-func (u *upstream) isWithheld(now kcrclock.Time) bool {
-	return now < u.withheldUntil && u.limit(now).Named
+// roomAt returns when the limit of the upstream leaves room, as far as this router has heard. That
+// of a cold upstream ends with it.
+func (u *upstream) roomAt() kcrclock.Time {
+	switch {
+	case u.rateLimit.Named:
+		return u.withheldUntil
+	case u.isLimitedWhileCold():
+		return min(u.withheldUntil, u.coldUntil)
+	}
+	return 0
 }
 
 // HasLimited reports whether an upstream of a service has a rate limit.
--- a/kernel/kcrplacement/rest_test.go
+++ b/kernel/kcrplacement/rest_test.go
@@ -95,7 +95,7 @@
 	p.sent++
 	if choice == nil {
 		p.refused++
-		if _, paused := p.tables[router].PauseEnd(p.now, "s"); !paused {
+		if !p.allQuiet(router) {
 			p.idleRefused++
 		}
 		return nil
@@ -119,6 +119,16 @@
 	return nil
 }
 
+// allQuiet reports whether a router has heard of all upstreams that stay that they want no requests.
+func (p *restPlay) allQuiet(router int) bool {
+	for i, until := range p.quietUntil[router] {
+		if p.leftAt[router][i] == 0 && until <= p.now {
+			return false
+		}
+	}
+	return true
+}
+
 // answer passes an answer to its router.
 func (p *restPlay) answer(a restAnswer) {
 	i := int(a.choice.ID[0] - '0')
--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -194,8 +194,8 @@
 			continue
 		}
 		cost, uncached := t.cost(now, s, u, &req, u == preferred)
-		if now < u.retryAt {
-			cost += cooldownCost * (1 + float64(u.retryAt.Sub(now)))
+		if until := u.avoidedUntil(); now < until {
+			cost += cooldownCost * (1 + float64(until.Sub(now)))
 		}
 		if cost < bestCost-tieMargin {
 			best, bestCost, bestUncached = u, cost, uncached
@@ -239,17 +239,6 @@
 	return req.PromptParts[len(req.PromptParts)-1].Tokens
 }
 
-// takes reports whether an upstream may get a request now.
-func (s *service) takes(now kcrclock.Time, u *upstream, req *Request) bool {
-	switch {
-	case req.Version != "" && u.Version != req.Version, req.Unlimited && u.mayNeedPermit(now), req.SkipsFull && u.isFull(now):
-		return false
-	case !u.fits(req), u.isWithheld(now), now < u.pausedUntil, u.triesEnough(now), s.leaves(u.ID, u.StartedAt):
-		return false
-	}
-	return true
-}
-
 // contains reports whether the list has the ID.
 func contains(ids []kcrid.VM, id kcrid.VM) bool {
 	for _, candidate := range ids {
--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -8,6 +8,7 @@
 	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/kernel/kcrplacement"
 	"kingcuprun.example/link/kcrdaemon"
 )
 
@@ -121,29 +122,45 @@
 // findUpstream connects to an upstream, and waits for a place while none takes the request. The
 // attempt is nil if none does in time, or the caller leaves.
 func (x *exchange) findUpstream() (a *attempt, reason string) {
-	waiting := x.gateway.admission(x.service)
-	if waiting.queue.Waiting() == 0 || !x.mayWait() {
-		if a, reason = x.connectToUpstream(); a != nil || !x.mayWait() {
+	waiting, from, mayWait := x.gateway.admission(x.service), kcrclock.Time(0), false
+	if waiting.queue.Waiting() > 0 {
+		from, mayWait = x.mayWait()
+	}
+	if !mayWait {
+		if a, reason = x.connectToUpstream(); a != nil {
 			return a, reason
 		}
+		if from, mayWait = x.mayWait(); !mayWait {
+			return nil, x.noChoiceReason()
+		}
 	}
 	x.gateway.metrics.waits.WithLabelValues(string(x.service)).Inc()
 	began := x.gateway.clock.Now()
-	a, reason = x.waitForUpstream(waiting)
+	a, reason = x.waitForUpstream(waiting, from)
 	x.placeWait += x.gateway.clock.Now().Sub(began)
+	if a == nil {
+		return nil, x.noChoiceReason()
+	}
 	return a, reason
 }
 
-// mayWait reports whether a wait may bring the request to an upstream: one is expected to have a
-// place in time. A request that was sent before, or must go on at one version, does not wait: the others
+// mayWait returns when a place for the request is expected, and whether it may wait for that. A
+// request that was sent before, or must go on at one version, does not wait: the others
 // would wait for the upstreams that are left to it.
-func (x *exchange) mayWait() bool {
-	now, latest := x.gateway.clock.Now(), x.latestPlace()
-	if x.version != "" || len(x.attempts) > 0 || x.interrupted() || now >= latest {
-		return false
+func (x *exchange) mayWait() (from kcrclock.Time, mayWait bool) {
+	latest := x.latestPlace()
+	if x.version != "" || len(x.attempts) > 0 || x.interrupted() || x.gateway.clock.Now() >= latest {
+		return 0, false
 	}
-	at, ok := x.gateway.table.NextPlace(now, x.service)
-	return ok && at < latest
+	place, ok := x.nextPlace()
+	return place.At, ok && place.At < latest
+}
+
+// nextPlace returns when an upstream may take the request, also if it has tried that before.
+func (x *exchange) nextPlace() (place kcrplacement.Place, ok bool) {
+	req := x.placementRequest()
+	req.Excluded = nil
+	return x.gateway.table.NextPlace(x.gateway.clock.Now(), req)
 }
 
 // latestPlace returns until when a place is of use: after that the answer would be late, or the
@@ -156,22 +173,23 @@
 	return latest
 }
 
-// admissionRequest describes the request for the order of those that wait.
-func (x *exchange) admissionRequest() kcradmission.Request {
-	req := kcradmission.Request{Rank: x.rank(), Team: kcrid.Team(x.teamName()), Share: x.rules.TeamShare(x.team), Latest: x.latestPlace()}
-	req.From, _ = x.gateway.table.NextPlace(x.gateway.clock.Now(), x.service)
-	return req
+// admissionRequest describes the request for the order of those that wait, for a place that is
+// expected at a time.
+func (x *exchange) admissionRequest(from kcrclock.Time) kcradmission.Request {
+	return kcradmission.Request{Rank: x.rank(), Team: kcrid.Team(x.teamName()), Share: x.rules.TeamShare(x.team), From: from, Latest: x.latestPlace()}
 }
 
-// waitForUpstream waits until an upstream takes the request. If none does in time, or if its
-// time would not suffice, it sets when the caller is to come back.
-func (x *exchange) waitForUpstream(waiting *admission) (a *attempt, reason string) {
-	g, req := x.gateway, x.admissionRequest()
-	for ; x.mayWait(); req = x.admissionRequest() {
+// waitForUpstream waits for a place, which is expected at a time, until an upstream takes the
+// request. If none does in time, or if its time would not suffice, it sets when the caller is to
+// come back.
+func (x *exchange) waitForUpstream(waiting *admission, from kcrclock.Time) (a *attempt, reason string) {
+	g := x.gateway
+	for mayWait := true; mayWait; from, mayWait = x.mayWait() {
+		req := x.admissionRequest(from)
 		ticket, turn, entered, retryAfter := waiting.enter(g.clock.Now(), req)
 		if !entered {
 			x.returnAfter = retryAfter
-			return nil, x.noUpstreamReason()
+			return nil, ""
 		}
 		if !x.awaitTurn(turn, req.Latest) {
 			waiting.leave(g.clock.Now(), ticket)
@@ -179,7 +197,7 @@
 		}
 		if x.interrupted() || x.banReason() != "" {
 			waiting.next(g.clock.Now())
-			return nil, x.noChoiceReason()
+			return nil, ""
 		}
 		if a, reason = x.connectToUpstream(); a != nil {
 			waiting.queue.Placed(g.clock.Now(), req)
@@ -190,7 +208,7 @@
 	if !x.interrupted() {
 		x.returnAfter = waiting.queue.Refuse(g.clock.Now())
 	}
-	return nil, x.noChoiceReason()
+	return nil, ""
 }
 
 // passTurnOn lets the next request look for a place, once the upstream has begun to answer one
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -172,7 +172,7 @@
 	if x.version != "" && !x.gateway.table.HasVersion(x.service, x.version) {
 		return reasonVersionGone
 	}
-	if _, paused := x.gateway.table.PauseEnd(x.gateway.clock.Now(), x.service); paused {
+	if place, ok := x.nextPlace(); ok && place.Hold == kcrplacement.Paused {
 		return reasonPaused
 	}
 	if x.gateway.table.HasLimited(x.gateway.clock.Now(), x.service) {
--- a/router/kcrgateway/permit.go
+++ b/router/kcrgateway/permit.go
@@ -22,14 +22,14 @@
 const reasonPermitExpired = "the permit has expired"
 
 // connectToUpstream chooses an upstream, connects to it, and takes a permit if it has a rate
-// limit. The attempt is nil if no upstream is left.
+// limit. The attempt is nil, without a reason, if no upstream is left.
 func (x *exchange) connectToUpstream() (a *attempt, reason string) {
 	g, req := x.gateway, x.placementRequest()
 	for asked := 0; ; asked++ {
 		req.Unlimited = asked == maxPermitRequests
 		choice := g.table.Choose(g.clock.Now(), req)
 		if choice == nil {
-			return nil, x.noUpstreamReason()
+			return nil, ""
 		}
 		a = &attempt{x: x, choice: choice, suspects: g.config.PartSuspects.Sent(x.usage.sharedParts)}
 		if reason = a.connect(); reason != "" {
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -87,9 +87,8 @@
 // pauseRetryAfter returns a time that jitter spreads over the time after the end of the pause of
 // the first upstream, so that callers don't all return at once.
 func (x *exchange) pauseRetryAfter() kcrclock.Duration {
-	now := x.gateway.clock.Now()
-	if end, paused := x.gateway.table.PauseEnd(now, x.service); paused {
-		return 2 * end.Sub(now)
+	if place, ok := x.nextPlace(); ok && place.Hold == kcrplacement.Paused {
+		return 2 * place.At.Sub(x.gateway.clock.Now())
 	}
 	return retryAfterShort
 }
