Admission: one package and one order, at routers and beside upstreams

Cause: kcrlimit (sidecar) and kcradmission (gateway) were two queues. That of the sidecar went by rank alone, and its 64 places were for all ranks: a less urgent rank filled them and kept the urgent out, a burst of one team kept the others out, and the least urgent rank starved. In kcradmission an urgent rank of which nothing had waited counted as the least urgent when its wait was expected, and a rank or team that waited not in this moment as one that sends nothing. Queue.Leave was linear in all that wait; Queue.Expire was called by a test only. Change: order.go is the order of both, by rank, team and time; queue.go and limit.go (moved from kcrlimit) go by it. The limit, its adaptation, exclusive runs, the order of arrival within a team and the time to come back are as they were; the queue is bounded by rank. Sidecars pass the team of a run; they don't know what it paid, so that all count alike there.

--- a/bench/kcrmeasure/route.go
+++ b/bench/kcrmeasure/route.go
@@ -10,9 +10,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sourcegraph/conc/stream"
 
+	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrid"
-	"kingcuprun.example/kernel/kcrlimit"
 	"kingcuprun.example/kernel/kcrroute"
 )
 
@@ -109,7 +109,7 @@
 	attempts     int
 	engine       int
 	vm           kcrid.VM
-	ticket       kcrlimit.Ticket
+	ticket       kcradmission.Ticket
 	startedAt    kcrclock.Time
 	firstTokenAt kcrclock.Time
 	generated    float64 // tokens so far
@@ -119,9 +119,9 @@
 
 // simulatedEngine is an engine with the limiter of its sidecar.
 type simulatedEngine struct {
-	limiter *kcrlimit.Limiter
+	limiter *kcradmission.Limiter
 	running []*routeRequest
-	queued  map[kcrlimit.Ticket]*routeRequest
+	queued  map[kcradmission.Ticket]*routeRequest
 	cache   []kcrid.ContentHash
 	served  int
 }
@@ -157,8 +157,8 @@
 	r := &routeSim{scenario: sc, random: rand.New(rand.NewPCG(seed, seed)), tally: RouteTally{FirstToken: hdrhistogram.New(1, 120_000, 3)}}
 	var ups []kcrroute.Upstream
 	for i := range engineCount {
-		config := kcrlimit.DefaultConfig()
-		r.engines = append(r.engines, &simulatedEngine{limiter: kcrlimit.New(config), queued: map[kcrlimit.Ticket]*routeRequest{}})
+		config := kcradmission.DefaultLimiterConfig()
+		r.engines = append(r.engines, &simulatedEngine{limiter: kcradmission.NewLimiter(config), queued: map[kcradmission.Ticket]*routeRequest{}})
 		ups = append(ups, kcrroute.Upstream{
 			VM: engineName(i), Addr: "addr", Zone: zoneName(i % zoneCount), Region: routeRegion, Service: "model",
 		})
@@ -242,12 +242,12 @@
 		r.pending = append(r.pending, request)
 		return
 	}
-	ticket, decision, _ := engine.limiter.Submit(r.now, kcrlimit.RunRequest{Priority: 1, Deadline: r.now.Add(maxQueueTime)})
+	ticket, decision, _ := engine.limiter.Submit(r.now, kcradmission.Request{Rank: 1, Latest: r.now.Add(maxQueueTime)})
 	request.ticket = ticket
 	switch decision {
-	case kcrlimit.Admitted:
+	case kcradmission.Admitted:
 		r.start(engine, request)
-	case kcrlimit.Queued:
+	case kcradmission.Queued:
 		engine.queued[ticket] = request
 	default:
 		r.sendLoadReport(request)
@@ -405,7 +405,7 @@
 
 // release ends a request at the limiter, starts the queued requests that it admits now,
 // and retries those that expired in the queue.
-func (r *routeSim) release(e *simulatedEngine, t kcrlimit.Ticket) {
+func (r *routeSim) release(e *simulatedEngine, t kcradmission.Ticket) {
 	started, expired := e.limiter.Release(r.now, t)
 	for _, t := range started {
 		if request := e.queued[t]; request != nil {
--- a/kernel/kcradmission/limit.go
+++ b/kernel/kcradmission/limit.go
@@ -1,21 +1,18 @@
-// Package kcrlimit limits the concurrent runs at one upstream. The limit adapts to
-// the latency and the refusals of the upstream, runs queue by priority, and a run that
-// can't start before its deadline is refused at once, with the time after which to
-// retry.
-package kcrlimit
+package kcradmission
 
 import (
 	"math"
-	"sort"
 	"sync"
 
 	"kingcuprun.example/kernel/kcrclock"
 )
 
-// This file defines the limiter. Invariants: a run starts only while fewer runs
-// than the limit are active; an exclusive run starts only while no other is
-// active, and no other starts beside it; a lower priority value starts first, and equal
-// values start in order of arrival.
+// This file defines the limiter of one upstream. Its limit of concurrent runs adapts to the latency
+// and the refusals of the upstream. Runs wait in the order of order.go, those of a team by arrival,
+// and a run that can't start in its time is refused at once, with the time after which to come back.
+// It answers runs above what one engine keeps its latency at.
+// Invariants: a run starts only while fewer runs than the limit are active; an exclusive run starts
+// only while no other is active, and no other starts beside it.
 
 // Decision is the decision on a run request.
 type Decision int
@@ -27,33 +24,23 @@
 	Refused                      // the run can't start before its deadline
 )
 
-// Ticket identifies a run at the limiter.
-type Ticket uint64
-
-// RunRequest describes a run that is to start.
-type RunRequest struct {
-	Priority  int           // the lowest value starts first
-	Exclusive bool          // must not share the upstream with other runs
-	Deadline  kcrclock.Time // latest start
-}
-
-// Config holds the parameters of a limiter.
-type Config struct {
+// LimiterConfig holds the parameters of a limiter.
+type LimiterConfig struct {
 	InitialLimit float64 // initial limit, in runs
 	MinLimit     float64 // runs
 	MaxLimit     float64 // highest limit, in runs
-	MaxQueue     int     // runs
+	MaxQueue     int     // runs of a rank that wait at once
 	// FirstTokenTarget is the target for the time to the first token.
 	FirstTokenTarget kcrclock.Duration
 	// TokenGapTarget is the target for the time between tokens.
 	TokenGapTarget kcrclock.Duration
 }
 
-// DefaultConfig returns the parameters for the expected load. The target for the
+// DefaultLimiterConfig returns the parameters for the expected load. The target for the
 // time to the first token is 1.9 s in total; a run may wait up to 1.2 s of it for
 // its start, which leaves 0.7 s.
-func DefaultConfig() Config {
-	return Config{InitialLimit: 16, MinLimit: 1, MaxLimit: 256, MaxQueue: 64, FirstTokenTarget: 700, TokenGapTarget: 58}
+func DefaultLimiterConfig() LimiterConfig {
+	return LimiterConfig{InitialLimit: 16, MinLimit: 1, MaxLimit: 256, MaxQueue: 64, FirstTokenTarget: 700, TokenGapTarget: 58}
 }
 
 // Decrease of the limit when the upstream is overloaded.
@@ -62,12 +49,6 @@
 	minDecreaseInterval = kcrclock.Second
 )
 
-// queuedRun is a run that waits for its start.
-type queuedRun struct {
-	ticket  Ticket
-	request RunRequest
-}
-
 // activeRun is a run that has started.
 type activeRun struct {
 	exclusive bool
@@ -76,42 +57,42 @@
 
 // Limiter admits runs to one upstream. It is safe for concurrent use.
 type Limiter struct {
-	config Config
+	config LimiterConfig
 
 	mu              sync.Mutex
 	limit           float64
-	lastTicket      Ticket
-	queue           []queuedRun // by priority, then by arrival
+	order           order
 	runs            map[Ticket]activeRun
 	decreasedAt     kcrclock.Time // last decrease of the limit
 	averageDuration float64       // smoothed duration of a run in ms, 0 before the first
 }
 
-// New returns a limiter without runs.
-func New(c Config) *Limiter {
-	return &Limiter{config: c, limit: c.InitialLimit, runs: map[Ticket]activeRun{}}
+// NewLimiter returns a limiter without runs.
+func NewLimiter(c LimiterConfig) *Limiter {
+	return &Limiter{config: c, limit: c.InitialLimit, order: newOrder(), runs: map[Ticket]activeRun{}}
 }
 
 // Submit asks to start a run. If the decision is Refused, retryAfter is the time
 // after which a retry is likely to succeed.
-func (l *Limiter) Submit(now kcrclock.Time, req RunRequest) (t Ticket, d Decision, retryAfter kcrclock.Duration) {
+func (l *Limiter) Submit(now kcrclock.Time, req Request) (t Ticket, d Decision, retryAfter kcrclock.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastTicket++
-	if l.canStart(req) && len(l.queue) == 0 {
-		l.start(now, l.lastTicket, req)
-		return l.lastTicket, Admitted, 0
+	if l.order.len() == 0 && l.canStart(req) {
+		t = l.order.nextTicket()
+		l.start(now, t, req)
+		return t, Admitted, 0
 	}
-	wait := l.expectedWait(req)
-	if len(l.queue) >= l.config.MaxQueue || now.Add(wait) > req.Deadline {
+	wait := l.expectedWait(now, req)
+	if l.order.waitingOf(req.Rank) >= l.config.MaxQueue || now.Add(wait) > req.Latest {
 		return 0, Refused, max(wait, kcrclock.Second)
 	}
-	l.enqueue(queuedRun{ticket: l.lastTicket, request: req})
-	return l.lastTicket, Queued, 0
+	t = l.order.nextTicket()
+	l.order.add(now, waiter{ticket: t, Request: req})
+	return t, Queued, 0
 }
 
 // canStart reports whether a run may start now, regardless of the queue.
-func (l *Limiter) canStart(req RunRequest) bool {
+func (l *Limiter) canStart(req Request) bool {
 	if req.Exclusive {
 		return len(l.runs) == 0
 	}
@@ -124,27 +105,18 @@
 }
 
 // start records that a run has started.
-func (l *Limiter) start(now kcrclock.Time, t Ticket, req RunRequest) {
+func (l *Limiter) start(now kcrclock.Time, t Ticket, req Request) {
 	l.runs[t] = activeRun{exclusive: req.Exclusive, startedAt: now}
 }
 
-// enqueue inserts a run behind all runs of the same or a lower priority value.
-func (l *Limiter) enqueue(run queuedRun) {
-	i := sort.Search(len(l.queue), func(i int) bool { return l.queue[i].request.Priority > run.request.Priority })
-	l.queue = append(l.queue, queuedRun{})
-	copy(l.queue[i+1:], l.queue[i:])
-	l.queue[i] = run
-}
-
-// expectedWait estimates how long a run would wait for its start.
-func (l *Limiter) expectedWait(req RunRequest) kcrclock.Duration {
-	ahead := 1
-	for _, queued := range l.queue {
-		if queued.request.Priority <= req.Priority {
-			ahead++
-		}
+// expectedWait estimates how long a run would wait for its start: for those of its team that came
+// before it, at the rate of the team.
+func (l *Limiter) expectedWait(now kcrclock.Time, req Request) kcrclock.Duration {
+	if l.averageDuration == 0 {
+		return 0
 	}
-	return kcrclock.Duration(l.averageDuration * float64(ahead) / math.Max(1, l.limit))
+	all := float64(kcrclock.Second) * math.Max(1, l.limit) / l.averageDuration
+	return pace(l.order.ahead(req, 0)+1, l.order.rate(now, req, all))
 }
 
 // Release ends a run. It returns the queued runs that start now and those that
@@ -173,29 +145,23 @@
 func (l *Limiter) Cancel(t Ticket) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i := range l.queue {
-		if l.queue[i].ticket == t {
-			l.queue = append(l.queue[:i], l.queue[i+1:]...)
-			return
-		}
-	}
+	l.order.remove(t)
 }
 
-// startQueued takes runs from the head of the queue: it drops those whose deadline
-// has passed, starts the others, and stops at the first that can't start yet.
+// startQueued takes the runs whose turn it is: it drops those whose time has passed, starts the others, and stops at the first that can't start yet.
 func (l *Limiter) startQueued(now kcrclock.Time) (started, expired []Ticket) {
-	for len(l.queue) > 0 {
-		next := l.queue[0]
-		if next.request.Deadline < now {
+	for next, ok := l.order.first(); ok; next, ok = l.order.first() {
+		if next.Latest < now {
 			expired = append(expired, next.ticket)
-			l.queue = l.queue[1:]
+			l.order.remove(next.ticket)
 			continue
 		}
-		if !l.canStart(next.request) {
+		if !l.canStart(next.Request) {
 			break
 		}
-		l.queue = l.queue[1:]
-		l.start(now, next.ticket, next.request)
+		l.order.take(now)
+		l.order.charge(now, next.Request)
+		l.start(now, next.ticket, next.Request)
 		started = append(started, next.ticket)
 	}
 	return started, expired
@@ -235,5 +201,5 @@
 func (l *Limiter) Load() (runs, limit, queue int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.runs), int(math.Max(1, math.Floor(l.limit))), len(l.queue)
+	return len(l.runs), int(math.Max(1, math.Floor(l.limit))), l.order.len()
 }
--- a/kernel/kcradmission/queue_test.go
+++ b/kernel/kcradmission/queue_test.go
@@ -46,9 +46,12 @@
 			}
 			owners[ticket], latest[ticket] = i, now.Add(l.time)
 		}
-		for _, ticket := range q.Expire(now) {
-			outcomes[owners[ticket]].expired++
-			delete(owners, ticket)
+		for ticket, owner := range owners {
+			if latest[ticket] < now {
+				q.Leave(ticket)
+				outcomes[owner].expired++
+				delete(owners, ticket)
+			}
 		}
 		places = min(1, places+float64(placesPerS)/1000)
 		if places < 1 {
--- a/sidecar/kcrsidecar/admission.go
+++ b/sidecar/kcrsidecar/admission.go
@@ -4,9 +4,10 @@
 	"context"
 	"sync"
 
+	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrerror"
-	"kingcuprun.example/kernel/kcrlimit"
+	"kingcuprun.example/kernel/kcrid"
 )
 
 // This file defines the queue in which requests wait for the concurrency limiter
@@ -16,25 +17,25 @@
 // admissionQueue blocks requests until the limiter admits or refuses them.
 type admissionQueue struct {
 	clock   kcrclock.Clock
-	limiter *kcrlimit.Limiter
+	limiter *kcradmission.Limiter
 
 	mu sync.Mutex
 	// waiters receive true when their run may start, false when it has expired.
-	waiters map[kcrlimit.Ticket]chan bool
+	waiters map[kcradmission.Ticket]chan bool
 }
 
 // newAdmissionQueue returns a queue without waiters.
-func newAdmissionQueue(clock kcrclock.Clock, limiter *kcrlimit.Limiter) *admissionQueue {
-	return &admissionQueue{clock: clock, limiter: limiter, waiters: map[kcrlimit.Ticket]chan bool{}}
+func newAdmissionQueue(clock kcrclock.Clock, limiter *kcradmission.Limiter) *admissionQueue {
+	return &admissionQueue{clock: clock, limiter: limiter, waiters: map[kcradmission.Ticket]chan bool{}}
 }
 
 // maxQueueTime is how long a request may wait for its start.
 const maxQueueTime = 1200 * kcrclock.Millisecond
 
 // acquire waits until the request may run. After success the caller must call release.
-// The lowest priority value starts first. An isolated run starts only while nothing
+// The lowest rank goes first, as package kcradmission orders them. An isolated run starts only while nothing
 // else runs, so it may wait longer than maxQueueTime.
-func (q *admissionQueue) acquire(ctx context.Context, priority int32, isolated bool) (ticket kcrlimit.Ticket, err error) {
+func (q *admissionQueue) acquire(ctx context.Context, rank int32, team kcrid.Team, isolated bool) (ticket kcradmission.Ticket, err error) {
 	now := q.clock.Now()
 	wake := make(chan bool, 1)
 	q.mu.Lock()
@@ -42,15 +43,15 @@
 	if isolated {
 		maxWait = 20 * kcrclock.Second
 	}
-	ticket, decision, retryAfter := q.limiter.Submit(now, kcrlimit.RunRequest{Priority: int(priority), Exclusive: isolated, Deadline: now.Add(maxWait)})
-	if decision == kcrlimit.Queued {
+	ticket, decision, retryAfter := q.limiter.Submit(now, kcradmission.Request{Rank: int(rank), Team: team, Exclusive: isolated, Latest: now.Add(maxWait)})
+	if decision == kcradmission.Queued {
 		q.waiters[ticket] = wake
 	}
 	q.mu.Unlock()
-	if decision == kcrlimit.Refused {
+	if decision == kcradmission.Refused {
 		return 0, overloadedRefusal(retryAfter)
 	}
-	if decision == kcrlimit.Admitted {
+	if decision == kcradmission.Admitted {
 		return ticket, nil
 	}
 	select {
@@ -75,7 +76,7 @@
 
 // cancelWait removes a request whose caller has left. If the request was admitted
 // meanwhile, its place is released.
-func (q *admissionQueue) cancelWait(ticket kcrlimit.Ticket) {
+func (q *admissionQueue) cancelWait(ticket kcradmission.Ticket) {
 	q.mu.Lock()
 	_, queued := q.waiters[ticket]
 	delete(q.waiters, ticket)
@@ -87,7 +88,7 @@
 }
 
 // release ends a run and starts the requests that may run now.
-func (q *admissionQueue) release(ticket kcrlimit.Ticket) {
+func (q *admissionQueue) release(ticket kcradmission.Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.notifyAll(q.limiter.Release(q.clock.Now(), ticket))
@@ -102,7 +103,7 @@
 }
 
 // notifyAll wakes the waiters of tickets. The caller holds the lock.
-func (q *admissionQueue) notifyAll(started, expired []kcrlimit.Ticket) {
+func (q *admissionQueue) notifyAll(started, expired []kcradmission.Ticket) {
 	for _, ticket := range started {
 		q.notify(ticket, true)
 	}
@@ -112,7 +113,7 @@
 }
 
 // notify wakes the waiter of a ticket, if there is one. The caller holds the lock.
-func (q *admissionQueue) notify(ticket kcrlimit.Ticket, admitted bool) {
+func (q *admissionQueue) notify(ticket kcradmission.Ticket, admitted bool) {
 	if waiter := q.waiters[ticket]; waiter != nil {
 		waiter <- admitted
 		delete(q.waiters, ticket)
--- a/sidecar/kcrsidecar/once.go
+++ b/sidecar/kcrsidecar/once.go
@@ -39,7 +39,7 @@
 	if current, _ := s.intents.Progress(call); current == kcrintent.Unresolved && s.config.Rules.RefusesNewWork(s.leaving()) {
 		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, RetryAfterSeconds: 1}
 	}
-	ticket, err := s.admission.acquire(ctx, req.GetRank(), false)
+	ticket, err := s.admission.acquire(ctx, req.GetRank(), kcrid.Team(req.GetTeam()), false)
 	if err != nil {
 		return notRunRefusal(err)
 	}
--- a/sidecar/kcrsidecar/plain.go
+++ b/sidecar/kcrsidecar/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"kingcuprun.example/kernel/kcrerror"
+	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/link/kcrwire"
 )
 
@@ -16,7 +17,7 @@
 	if s.config.Rules.RefusesNewWork(s.leaving()) {
 		return &kcrerror.Refusal{Code: kcrerror.Leaving, Text: leavingText, RetryAfterSeconds: 1}
 	}
-	ticket, err := s.admission.acquire(ctx, req.GetRank(), false)
+	ticket, err := s.admission.acquire(ctx, req.GetRank(), kcrid.Team(req.GetTeam()), false)
 	if err != nil {
 		return notRunRefusal(err)
 	}
--- a/sidecar/kcrsidecar/run.go
+++ b/sidecar/kcrsidecar/run.go
@@ -51,7 +51,7 @@
 func (s *Sidecar) performRun(ctx context.Context, req *kcrwire.Start, run *callRun) (end runEnd) {
 	suspect, _ := s.configState.SuspectStatus(run.content)
 	isolated := suspect || req.GetApart() || s.crashes.suspected(run.content)
-	ticket, err := s.admission.acquire(ctx, req.GetRank(), isolated)
+	ticket, err := s.admission.acquire(ctx, req.GetRank(), kcrid.Team(req.GetTeam()), isolated)
 	if err != nil {
 		return refusedRun(notRunRefusal(err))
 	}
--- a/sidecar/kcrsidecar/sidecar.go
+++ b/sidecar/kcrsidecar/sidecar.go
@@ -14,12 +14,12 @@
 
 	"github.com/sourcegraph/conc"
 
+	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrintent"
-	"kingcuprun.example/kernel/kcrlimit"
 	"kingcuprun.example/kernel/kcrlist"
 	"kingcuprun.example/kernel/kcrlog"
 	"kingcuprun.example/link/kcrdaemon"
@@ -109,7 +109,7 @@
 		pool:        config.Pool,
 		upstream:    newUpstreamClient(config.UpstreamSettings.Upstream),
 		meter:       kcrbudget.NewMeter(kcrbudget.DefaultMeterRules()),
-		admission:   newAdmissionQueue(config.Clock, kcrlimit.New(limiterConfig(service))),
+		admission:   newAdmissionQueue(config.Clock, kcradmission.NewLimiter(limiterConfig(service))),
 		runs:        newRunTable(config.Clock),
 		metrics:     newMetrics(config.Metrics),
 	}
@@ -141,8 +141,8 @@
 }
 
 // limiterConfig returns the bounds of the concurrency limiter for a service.
-func limiterConfig(service kcrsettings.Service) kcrlimit.Config {
-	config := kcrlimit.DefaultConfig()
+func limiterConfig(service kcrsettings.Service) kcradmission.LimiterConfig {
+	config := kcradmission.DefaultLimiterConfig()
 	config.InitialLimit = float64(service.InitialConcurrency)
 	config.MaxLimit = max(config.MaxLimit, config.InitialLimit)
 	return config
