--- a/kernel/kcrplacement/table.go
+++ b/kernel/kcrplacement/table.go
@@ -59,7 +59,6 @@
 	Excluded      []kcrid.VM        // upstreams of earlier attempts, which are not chosen again
 	Unlimited     bool              // upstreams that may need a permit are not chosen
 	SkipsFull     bool              // upstreams that have just refused a request are not chosen
-	Rank          int               // requests of a lower value start first
 	Target        kcrclock.Duration // for the time to the first event, 0 for none
 	GapTarget     kcrclock.Duration // for the time between events, 0 for none
 }
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -88,7 +88,7 @@
 func (x *exchange) placementRequest() kcrplacement.Request {
 	req := kcrplacement.Request{
 		Service: x.service, Version: x.version, TransferBytes: x.bodySize + plainOverheadBytes,
-		Rank: x.rank(), Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
+		Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
 	}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens, req.OutputTokens = x.usage.promptParts, x.usage.prompt, x.usage.output
