Admission: a team fills its share of those that may wait, not all

Cause: the bound on those that wait was of a rank. A burst of one team whose requests have much time fills it, and the others of its rank are refused for as long as it lasts, though the order would take them first. Ruled out: handing out a waiting request to be refused later; it would wait in vain. Change: a team may have its share of the bound beside the teams that want places too. All together are at most the harmonic sum of the teams as many.

--- a/kernel/kcradmission/limit.go
+++ b/kernel/kcradmission/limit.go
@@ -29,7 +29,7 @@
 	InitialLimit float64 // initial limit, in runs
 	MinLimit     float64 // runs
 	MaxLimit     float64 // highest limit, in runs
-	MaxQueue     int     // runs of a rank that wait at once
+	MaxQueue     int     // runs of a rank that wait at once, shared among its teams
 	// FirstTokenTarget is the target for the time to the first token.
 	FirstTokenTarget kcrclock.Duration
 	// TokenGapTarget is the target for the time between tokens.
@@ -83,7 +83,7 @@
 		return t, Admitted, 0
 	}
 	wait := l.expectedWait(now, req)
-	if l.order.waitingOf(req.Rank) >= l.config.MaxQueue || now.Add(wait) > req.Latest {
+	if !l.order.hasRoom(now, req, l.config.MaxQueue) || now.Add(wait) > req.Latest {
 		return 0, Refused, max(wait, kcrclock.Second)
 	}
 	t = l.order.nextTicket()
--- a/kernel/kcradmission/order.go
+++ b/kernel/kcradmission/order.go
@@ -139,14 +139,12 @@
 	return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.ticket, b.ticket))
 }
 
-// waitingOf returns the number of requests of a rank that wait.
-func (o *order) waitingOf(value int) (count int) {
-	if i, found := o.rankAt(value); found {
-		for _, t := range o.ranks[i].teams {
-			count += len(t.waiting)
-		}
-	}
-	return count
+// hasRoom reports whether one more request may wait, where most may of each rank: a team may fill its
+// share of them beside the teams that want places too. So all together are at most as many as the
+// harmonic sum of the teams for each rank, and none is kept out by what another one has sent.
+func (o *order) hasRoom(now kcrclock.Time, req Request, most int) bool {
+	t := o.findTeam(req)
+	return t == nil || float64(len(t.waiting)) < float64(most)*o.teamShare(now, req)
 }
 
 // rankAt returns the position of a rank in the list, or where it belongs.
--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -34,7 +34,7 @@
 
 // Config holds the limits of a queue.
 type Config struct {
-	MaxWaiting int               // requests of a rank that wait at once
+	MaxWaiting int               // requests of a rank that wait at once, shared among its teams
 	MinRetry   kcrclock.Duration // least time until a refused request comes back
 	MaxRetry   kcrclock.Duration // longest
 }
@@ -79,7 +79,7 @@
 	q.advance(now)
 	q.heldUntil = r.From
 	wait := max(0, r.From.Sub(now)) + q.expectedWait(r)
-	if q.order.waitingOf(r.Rank) >= q.config.MaxWaiting || now.Add(wait) > r.Latest {
+	if !q.order.hasRoom(q.busy, r, q.config.MaxWaiting) || now.Add(wait) > r.Latest {
 		return 0, false, q.scheduleReturn(now, wait)
 	}
 	t = q.order.nextTicket()
--- a/kernel/kcradmission/queue_test.go
+++ b/kernel/kcradmission/queue_test.go
@@ -278,3 +278,25 @@
 		t.Errorf("expected an urgent request beside those that wait, got %v and %d", entered, q.Waiting())
 	}
 }
+
+// However many requests of one team wait that have much time, another team's may, and then as many of it
+// as its share allows.
+func TestManyOfOneTeamDoNotKeepOthersOut(t *testing.T) {
+	q, owners := kcradmission.New(kcradmission.DefaultConfig()), map[kcradmission.Ticket]kcradmission.Request{}
+	enterAll(q, 1, 600, kcradmission.Request{Team: "burst", Latest: 1_000_000}, owners)
+	enterAll(q, 1, 600, kcradmission.Request{Team: "b", Latest: 1_000_000}, owners)
+	count := map[kcrid.Team]int{}
+	for _, r := range owners {
+		count[r.Team]++
+	}
+	if count["burst"] != 512 || count["b"] != 256 {
+		t.Errorf("expected 512 of the burst and 256 of the other team to wait, got %v", count)
+	}
+	l := newLimiter(1, 1)
+	submit(t, l, 1, kcradmission.Request{}, kcradmission.Admitted)
+	for range 64 {
+		submit(t, l, 1, kcradmission.Request{Team: "burst", Latest: 1_000_000}, kcradmission.Queued)
+	}
+	submit(t, l, 1, kcradmission.Request{Team: "burst", Latest: 1_000_000}, kcradmission.Refused)
+	submit(t, l, 1, kcradmission.Request{Team: "b", Latest: 1_000_000}, kcradmission.Queued)
+}
