--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -88,7 +88,7 @@
 func (x *exchange) placementRequest() kcrplacement.Request {
 	req := kcrplacement.Request{
 		Service: x.service, Version: x.version, TransferBytes: x.bodySize + plainOverheadBytes,
-		Rank: x.rank(), Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
+		Target: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget,
 	}
 	if x.usage.declared {
 		req.PromptParts, req.PromptTokens, req.OutputTokens = x.usage.promptParts, x.usage.prompt, x.usage.output
@@ -172,7 +172,7 @@
 	if x.version != "" && !x.gateway.table.HasVersion(x.service, x.version) {
 		return reasonVersionGone
 	}
-	if _, paused := x.gateway.table.PauseEnd(x.gateway.clock.Now(), x.service); paused {
+	if place, ok := x.nextPlace(); ok && place.Hold == kcrplacement.Paused {
 		return reasonPaused
 	}
 	if x.gateway.table.HasLimited(x.gateway.clock.Now(), x.service) {
