Callers that pause keep their place beside those that hardly read

Cause: the progress of a caller was counted only while it read slowly. Where all had some, since the buffers of sockets take 200 KB that nobody has read, none was below the bound and the caller that asked was refused, however much it had read. Ruled out: waiting for those that prove slow without a reservation, since what is held meanwhile has no bound; a longer half-life, which keeps slow readers in their places as well. Change: what is written promptly counts as progress; a body that came does not count for the answer; of streams, the one with the least progress loses its place, the asker included. Buffers to upstreams are 16 KiB, and a slow reader holds 64 KiB in place of 96.

--- a/kernel/kcrmemory/account.go
+++ b/kernel/kcrmemory/account.go
@@ -129,7 +129,7 @@
 	defer a.mu.Unlock()
 	if len(a.holders)-a.lost >= a.limits.Connections {
 		losers = a.takePlaces(now, 1+a.limits.Connections/batchDivisor, func(h *Holder) bool {
-			return !h.isFresh(now) && (h.stage < Sending || h.stage < Served && h.ratio(now) < fairRatio)
+			return !h.isFresh(now) && (h.stage < Sending || h.stage < Served && h.ratio(now, 0) < fairRatio)
 		})
 	}
 	if len(a.holders)-a.lost >= a.limits.Connections || len(a.holders) >= a.limits.most() {
@@ -166,6 +166,9 @@
 	if h.Lost() {
 		return false, nil
 	}
+	if stage == Served && h.stage != Behind {
+		h.progress = 0 // from here on it is what the caller reads
+	}
 	a.stages[h.stage]--
 	h.stage, h.since = stage, now
 	a.stages[stage]++
@@ -211,27 +214,32 @@
 		a.bytes[kind] += int64(n)
 		return Granted, nil
 	}
-	return a.makeRoom(now, h, kind, missing)
+	return a.makeRoom(now, h, kind, n, missing)
 }
 
 // makeRoom takes the places of connections until missing bytes of a kind will be returned: of those
 // with the least progress, then of those that have the least of a long body, if this one has more
-// than twice as much. So long bodies that come at once end one after the other.
-func (a *Account) makeRoom(now kcrclock.Time, h *Holder, kind Kind, missing int64) (outcome Outcome, losers []*Holder) {
-	most := min(h.ratio(now), fairRatio)
+// than twice as much. So long bodies that come at once end one after the other. Of callers that
+// read slowly it takes any with less progress than this one: their progress began with what the
+// buffers of their sockets took, so for a moment all of them seem to read.
+func (a *Account) makeRoom(now kcrclock.Time, h *Holder, kind Kind, n int, missing int64) (outcome Outcome, losers []*Holder) {
+	most := min(h.ratio(now, 0), fairRatio)
+	if kind == Streams {
+		most = h.ratio(now, n)
+	}
 	var slow, begun []*Holder
 	for other := range a.holders {
 		switch held := other.bytes[kind]; {
 		case other.Lost():
 			missing -= held
 		case other == h || other.stage >= Served || held == 0:
-		case other.ratio(now) < most:
+		case other.ratio(now, 0) < most:
 			slow = append(slow, other)
 		case other.stage == Sending && held > smallHolder && 2*held < h.bytes[kind]:
 			begun = append(begun, other)
 		}
 	}
-	slices.SortFunc(slow, func(x, y *Holder) int { return compare(x.ratio(now), y.ratio(now)) })
+	slices.SortFunc(slow, func(x, y *Holder) int { return compare(x.ratio(now, 0), y.ratio(now, 0)) })
 	slices.SortFunc(begun, func(x, y *Holder) int { return compare(float64(x.bytes[kind]), float64(y.bytes[kind])) })
 	for _, other := range append(slow, begun...) {
 		if missing <= 0 {
@@ -322,7 +330,7 @@
 	case x.stage != y.stage:
 		return int(x.stage) - int(y.stage)
 	case x.stage >= Sending:
-		return compare(x.ratio(now), y.ratio(now))
+		return compare(x.ratio(now, 0), y.ratio(now, 0))
 	default:
 		return compare(float64(x.since), float64(y.since))
 	}
@@ -347,9 +355,9 @@
 	return h.progress * math.Exp2(-float64(now.Sub(h.at))/float64(progressHalfLife))
 }
 
-// ratio returns the progress for each measured byte that is held.
-func (h *Holder) ratio(now kcrclock.Time) float64 {
-	held := int64(0)
+// ratio returns the progress for each measured byte that is held, with more further ones.
+func (h *Holder) ratio(now kcrclock.Time, more int) float64 {
+	held := int64(more)
 	for _, n := range h.bytes {
 		held += n
 	}
--- a/kernel/kcrmemory/account_test.go
+++ b/kernel/kcrmemory/account_test.go
@@ -92,6 +92,61 @@
 	}
 }
 
+// TestPausedCallerKeepsPlaceBesideSlow checks that a caller that has read promptly, and pauses for a
+// moment while callers that hardly read use up the share for streams, gets a place and keeps it.
+func TestPausedCallerKeepsPlaceBesideSlow(t *testing.T) {
+	t.Parallel()
+	const behind, unread, pause = 96 * kib, 128 * kib, 300
+	for name, start := range map[string]kcrclock.Time{"at first": 0, "later": 4000} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := limits(20, 0)
+			l.Bytes[kcrmemory.Streams] = 16 * behind // of which long holders may use three quarters
+			a := kcrmemory.New(l)
+			fallBehind := func(now kcrclock.Time, m *member) kcrmemory.Outcome {
+				outcome, losers := a.Grow(now, m.Holder, kcrmemory.Streams, behind)
+				end(losers)
+				if outcome == kcrmemory.Granted {
+					a.SetStage(now, m.Holder, kcrmemory.Behind)
+				}
+				return outcome
+			}
+			var slow []*member
+			for range 12 {
+				m := open(a, 0)
+				a.SetStage(0, m.Holder, kcrmemory.Served)
+				a.Progress(0, m.Holder, unread) // fills the buffers of its socket
+				if fallBehind(250, m) != kcrmemory.Granted {
+					t.Fatal("expected room for the first callers, got none")
+				}
+				slow = append(slow, m)
+			}
+			prompt := open(a, start)
+			a.SetStage(start, prompt.Holder, kcrmemory.Served)
+			a.Progress(start, prompt.Holder, 3*unread)
+			now := start.Add(pause)
+			if outcome := fallBehind(now, prompt); outcome != kcrmemory.Wait {
+				t.Fatalf("expected the place of a slow caller, got outcome %v", outcome)
+			}
+			for _, m := range slow {
+				if m.isOut {
+					a.Remove(m.Holder)
+				}
+			}
+			if outcome := fallBehind(now, prompt); outcome != kcrmemory.Granted {
+				t.Fatalf("expected room once a slow caller has left, got %v", outcome)
+			}
+			late := open(a, now)
+			a.SetStage(now, late.Holder, kcrmemory.Served)
+			a.Progress(now, late.Holder, unread)
+			fallBehind(now.Add(pause), late)
+			if prompt.isOut {
+				t.Error("expected the caller that read promptly to keep its place, it lost it to a slow one")
+			}
+		})
+	}
+}
+
 // step does something at random with a member.
 func step(t *rapid.T, a *kcrmemory.Account, now kcrclock.Time, m *member) {
 	switch rapid.IntRange(0, 3).Draw(t, "action") {
--- a/router/kcrgateway/place.go
+++ b/router/kcrgateway/place.go
@@ -21,9 +21,9 @@
 const (
 	callerSocketBuffer   = 64 << 10 // for what a caller sends
 	responseSocketBuffer = 32 << 10 // for what a caller gets
-	upstreamSocketBuffer = 32 << 10
-	// behindBytes is what is held for a caller that reads slowly.
-	behindBytes = responseSocketBuffer + upstreamSocketBuffer + 32<<10
+	upstreamSocketBuffer = 16 << 10
+	// behindBytes is what is held for a caller that reads slowly, with the buffers of the process.
+	behindBytes = responseSocketBuffer + upstreamSocketBuffer + 16<<10
 )
 
 const (
@@ -142,6 +142,7 @@
 	_ = c.conn.SetWriteDeadline(time.Now().Add(promptWriteTimeout))
 	n, err := c.conn.Write(data)
 	if err == nil {
+		c.place.progress(n)
 		c.place.caughtUp()
 		return nil
 	}
