Kernel: a full account is asked at little cost

Cause: where all places or bytes are taken, everyone that waits asks again each 2 ms, and each time all connections were scanned and sorted under the lock of the account. Change: the connections of a stage are kept in the order in which they entered it, and the bytes that losers will return are counted.

--- a/kernel/kcrmemory/account.go
+++ b/kernel/kcrmemory/account.go
@@ -4,6 +4,8 @@
 package kcrmemory
 
 import (
+	"cmp"
+	"container/list"
 	"math"
 	"slices"
 	"sync"
@@ -94,9 +96,10 @@
 
 	mu      sync.Mutex
 	holders map[*Holder]bool
-	stages  [stageCount]int // holders by stage
-	lost    int             // losers that are not removed yet
+	stages  [stageCount]list.List // of *Holder with their places; who entered the stage first is first
+	lost    int                   // losers that are not removed yet
 	bytes   [kindCount]int64
+	leaving [kindCount]int64 // bytes of losers, which they will return
 }
 
 // Holder is a connection and what is held for it.
@@ -106,6 +109,7 @@
 
 	// Protected by Account.mu.
 	stage    Stage
+	element  *list.Element // in the list of the stage, while it has its place
 	since    kcrclock.Time // when the stage began
 	bytes    [kindCount]int64
 	progress float64 // bytes that came, less with time
@@ -128,16 +132,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.holders)-a.lost >= a.limits.Connections {
-		losers = a.takePlaces(now, 1+a.limits.Connections/batchDivisor, func(h *Holder) bool {
-			return !h.isFresh(now) && (h.stage < Sending || h.stage < Served && h.ratio(now, 0) < fairRatio)
-		})
+		losers = a.takePlaces(now, 1+a.limits.Connections/batchDivisor)
 	}
 	if len(a.holders)-a.lost >= a.limits.Connections || len(a.holders) >= a.limits.most() {
 		return nil, losers
 	}
 	h = &Holder{end: end, since: now, at: now}
 	a.holders[h] = true
-	a.stages[Silent]++
+	h.element = a.stages[Silent].PushBack(h)
 	return h, losers
 }
 
@@ -148,14 +150,14 @@
 	if !a.holders[h] {
 		return
 	}
-	delete(a.holders, h)
-	a.stages[h.stage]--
-	if h.isOut.Swap(true) {
-		a.lost--
+	if !h.Lost() {
+		a.lose(h)
 	}
+	a.lost--
 	for kind, n := range h.bytes {
-		a.bytes[kind] -= n
+		a.shrink(h, Kind(kind), n)
 	}
+	delete(a.holders, h)
 }
 
 // SetStage sets the stage of a connection. It reports whether the connection still has its place.
@@ -169,11 +171,11 @@
 	if stage == Served && h.stage != Behind {
 		h.progress = 0 // from here on it is what the caller reads
 	}
-	a.stages[h.stage]--
+	a.stages[h.stage].Remove(h.element)
 	h.stage, h.since = stage, now
-	a.stages[stage]++
-	if stage == Starting && a.stages[Starting] > a.limits.Heads {
-		losers = a.takePlaces(now, 1, func(other *Holder) bool { return other.stage == Starting && other != h })
+	h.element = a.stages[stage].PushBack(h)
+	if heads := &a.stages[Starting]; stage == Starting && heads.Len() > a.limits.Heads {
+		losers = []*Holder{a.lose(holderOf(heads.Front()))}
 	}
 	return true, losers
 }
@@ -213,6 +215,8 @@
 		h.bytes[kind] += int64(n)
 		a.bytes[kind] += int64(n)
 		return Granted, nil
+	case missing <= a.leaving[kind]:
+		return Wait, nil
 	}
 	return a.makeRoom(now, h, kind, n, missing)
 }
@@ -227,26 +231,30 @@
 	if kind == Streams {
 		most = h.ratio(now, n)
 	}
-	var slow, begun []*Holder
-	for other := range a.holders {
-		switch held := other.bytes[kind]; {
-		case other.Lost():
-			missing -= held
-		case other == h || other.stage >= Served || held == 0:
-		case other.ratio(now, 0) < most:
-			slow = append(slow, other)
-		case other.stage == Sending && held > smallHolder && 2*held < h.bytes[kind]:
-			begun = append(begun, other)
+	missing -= a.leaving[kind]
+	var slow, begun []candidate
+	for stage := range Served {
+		for e := a.stages[stage].Front(); e != nil; e = e.Next() {
+			other := holderOf(e)
+			held := other.bytes[kind]
+			if held == 0 || other == h {
+				continue
+			}
+			if ratio := other.ratio(now, 0); ratio < most {
+				slow = append(slow, candidate{other, ratio})
+			} else if stage == Sending && held > smallHolder && 2*held < h.bytes[kind] {
+				begun = append(begun, candidate{other, float64(held)})
+			}
 		}
 	}
-	slices.SortFunc(slow, func(x, y *Holder) int { return compare(x.ratio(now, 0), y.ratio(now, 0)) })
-	slices.SortFunc(begun, func(x, y *Holder) int { return compare(float64(x.bytes[kind]), float64(y.bytes[kind])) })
+	slices.SortFunc(slow, compareRank)
+	slices.SortFunc(begun, compareRank)
 	for _, other := range append(slow, begun...) {
 		if missing <= 0 {
 			break
 		}
 		missing -= other.bytes[kind]
-		losers = append(losers, other)
+		losers = append(losers, other.Holder)
 	}
 	if missing > 0 {
 		return Refused, nil
@@ -264,8 +272,16 @@
 	if !a.holders[h] {
 		return
 	}
-	h.bytes[kind] -= int64(n)
-	a.bytes[kind] -= int64(n)
+	a.shrink(h, kind, int64(n))
+}
+
+// shrink returns n bytes of a kind.
+func (a *Account) shrink(h *Holder, kind Kind, n int64) {
+	h.bytes[kind] -= n
+	a.bytes[kind] -= n
+	if h.Lost() {
+		a.leaving[kind] -= n
+	}
 }
 
 // ShrinkAll returns all bytes that are held for a connection.
@@ -276,8 +292,7 @@
 		return
 	}
 	for kind, n := range h.bytes {
-		a.bytes[kind] -= n
-		h.bytes[kind] = 0
+		a.shrink(h, Kind(kind), n)
 	}
 }
 
@@ -302,49 +317,59 @@
 	return len(a.holders) >= a.limits.Connections
 }
 
-// takePlaces takes the places of up to count connections that may lose theirs.
-func (a *Account) takePlaces(now kcrclock.Time, count int, mayLose func(*Holder) bool) (losers []*Holder) {
-	for h := range a.holders {
-		if !h.Lost() && mayLose(h) {
-			losers = append(losers, h)
+// takePlaces takes the places of up to count connections that have had time to make use of them: in
+// the order of their stages, of one stage the older ones, or those with the least progress.
+func (a *Account) takePlaces(now kcrclock.Time, count int) (losers []*Holder) {
+	for stage := range Served {
+		for _, other := range a.candidates(now, stage, count-len(losers)) {
+			losers = append(losers, a.lose(other.Holder))
 		}
 	}
-	slices.SortFunc(losers, func(x, y *Holder) int { return compareRank(now, x, y) })
-	losers = losers[:min(count, len(losers))]
-	for _, h := range losers {
-		a.lose(h)
-	}
 	return losers
 }
 
-// lose takes the place of a connection.
-func (a *Account) lose(h *Holder) {
-	h.isOut.Store(true)
-	a.lost++
+// candidate is a connection that may lose its place.
+type candidate struct {
+	*Holder
+	rank float64 // the lowest one loses its place first
 }
 
-// compareRank orders connections: the one that loses its place first comes first. It is the
-// earlier stage; of one stage the older one, or the one with the least progress for its bytes.
-func compareRank(now kcrclock.Time, x, y *Holder) int {
-	switch {
-	case x.stage != y.stage:
-		return int(x.stage) - int(y.stage)
-	case x.stage >= Sending:
-		return compare(x.ratio(now, 0), y.ratio(now, 0))
-	default:
-		return compare(float64(x.since), float64(y.since))
+// compareRank orders candidates.
+func compareRank(x, y candidate) int { return cmp.Compare(x.rank, y.rank) }
+
+// candidates returns up to count connections of a stage that lose their places to new ones.
+func (a *Account) candidates(now kcrclock.Time, stage Stage, count int) (found []candidate) {
+	byProgress := stage >= Sending
+	for e := a.stages[stage].Front(); e != nil; e = e.Next() {
+		h := holderOf(e)
+		if h.isFresh(now) || !byProgress && len(found) >= count {
+			break
+		}
+		ratio := h.ratio(now, 0)
+		if !byProgress || ratio < fairRatio {
+			found = append(found, candidate{h, ratio})
+		}
+	}
+	if byProgress {
+		slices.SortFunc(found, compareRank)
 	}
+	return found[:min(count, len(found))]
 }
 
-func compare(x, y float64) int {
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	default:
-		return 0
+func holderOf(e *list.Element) *Holder {
+	h, _ := e.Value.(*Holder)
+	return h
+}
+
+// lose takes the place of a connection.
+func (a *Account) lose(h *Holder) *Holder {
+	h.isOut.Store(true)
+	a.lost++
+	a.stages[h.stage].Remove(h.element)
+	for kind, n := range h.bytes {
+		a.leaving[kind] += n
 	}
+	return h
 }
 
 // isFresh reports whether the connection entered its stage a moment ago.
