Lines of the chunked coding are not copied

Cause: each line of the chunked coding became a string. With chunks of a few bytes the copies are many times their data, and garbage grows faster than it is collected beside load. Change: lines are parsed where they lie.

--- a/link/kcrhttp/body.go
+++ b/link/kcrhttp/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -121,6 +122,14 @@
 // UntilClose tells whether the body lasts until the connection is closed.
 func (b *Body) UntilClose() bool { return b.framing == framingUntilClose }
 
+// Announced returns the bytes that are left of a body whose length is known, else 0.
+func (b *Body) Announced() int {
+	if b.framing != framingLength {
+		return 0
+	}
+	return int(b.remaining)
+}
+
 // Done tells whether the body was read to its end.
 func (b *Body) Done() bool { return b.done }
 
@@ -199,7 +208,7 @@
 // trailer fields and sets done.
 func (b *Body) nextChunk() error {
 	if b.expectCRLF {
-		if line, err := b.readLine(); err != nil || line != "" {
+		if line, err := b.readLine(); err != nil || len(line) > 0 {
 			return errorOrProtocolError(err, "chunk: expected CRLF after its data")
 		}
 		b.expectCRLF = false
@@ -208,12 +217,12 @@
 	if err != nil {
 		return err
 	}
-	size, _, _ := strings.Cut(line, ";")
-	size = strings.TrimRight(size, " \t")
-	if size == "" || len(size) > 8 || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
-		return newProtocolError(statusBadRequest, "chunk: expected a size in hexadecimal, got %q", truncate(line))
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	size = bytes.TrimRight(size, " \t")
+	if len(size) == 0 || len(size) > 8 || !isHexadecimal(size) {
+		return newProtocolError(statusBadRequest, "chunk: expected a size in hexadecimal, got %q", truncate(string(line)))
 	}
-	if b.remaining, err = strconv.ParseInt(size, 16, 64); err != nil || b.remaining > 0 {
+	if b.remaining, err = strconv.ParseInt(string(size), 16, 64); err != nil || b.remaining > 0 {
 		return err
 	}
 	for range maxTrailers + 1 {
@@ -221,7 +230,7 @@
 		if err != nil {
 			return err
 		}
-		if line == "" {
+		if len(line) == 0 {
 			b.done = true
 			return nil
 		}
@@ -229,6 +238,15 @@
 	return newProtocolError(statusBadRequest, "trailers: expected at most %d fields", maxTrailers)
 }
 
+func isHexadecimal(digits []byte) bool {
+	for _, d := range digits {
+		if (d < '0' || d > '9') && (d|0x20 < 'a' || d|0x20 > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
 // errorOrProtocolError returns err, or a ProtocolError with a text if err is nil.
 func errorOrProtocolError(err error, text string) error {
 	if err != nil {
@@ -237,17 +255,19 @@
 	return newProtocolError(statusBadRequest, "%s", text)
 }
 
-// readLine reads a line of the chunked coding and returns it without its CRLF.
-func (b *Body) readLine() (string, error) {
-	line, err := b.r.ReadSlice('\n')
+// readLine reads a line of the chunked coding and returns it without its CRLF. The line is valid
+// until the next read: chunks may be as short as a byte, and copies of their lines would be much
+// more than their data.
+func (b *Body) readLine() (line []byte, err error) {
+	line, err = b.r.ReadSlice('\n')
 	switch {
 	case err != nil:
 		b.partialLine = len(line) > 0
-		return "", err
+		return nil, err
 	case len(line) < 2 || len(line) > maxLine || line[len(line)-2] != '\r':
-		return "", newProtocolError(statusBadRequest, "chunk: expected a line that ends with CRLF")
+		return nil, newProtocolError(statusBadRequest, "chunk: expected a line that ends with CRLF")
 	}
-	return string(line[:len(line)-2]), nil
+	return line[:len(line)-2], nil
 }
 
 // maxPreallocated is the maximum size for which ReadAll trusts Content-Length, in bytes. A
