review: the stand-in of the platform fills in the settings of today

Change: the link is 1,000 Mbit/s, as in the claim of case 3 (125 MB/s); the bounds of cold engines are left out, as where the platform has none. What the cases send, count and judge is as before.

--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -91,6 +91,9 @@
 	replace("{{#listen.controlPlane}}\"control\": \"{{.}}\",{{/listen.controlPlane}}", fmt.Sprintf("\"control\": \"%s:%d\",", m.ip, controlPort))
 	replace("{{#heartbeatMs}}\"heartbeat\": {{.}},{{/heartbeatMs}}", fmt.Sprintf("\"heartbeat\": %d,", heartbeat.Milliseconds()))
 	replace("{{#limits.fileDescriptors}}\"descriptors\": {{.}},{{/limits.fileDescriptors}}", "\"descriptors\": 4200,")
+	replace("{{#limits.linkMbps}}\"link\": {{.}},{{/limits.linkMbps}}", "\"link\": 1000,")
+	replace("{{#bounds.coldOvershoot}}\"overshoot\": {{.}},{{/bounds.coldOvershoot}}", "")
+	replace("{{#bounds.coldSlack}}\"margin\": {{.}},{{/bounds.coldSlack}}", "")
 	first := ""
 	if m.starts == 1 {
 		first = "\"first\": true,"
