Budgets: a successor counts what a killed home drew, not a share of the budget

Cause: a home that knew no rate of a team claimed a twentieth of what was left and set a bound that allowed a twentieth of the prepaid tokens at once; the bound of a team without demand was never renewed, and grew. Ruled out by trace (a line more at each settlement, in a scratch copy): bounds too old to prove, machines taken for restarted, hosts that nobody asks again: all but the last homes were inherited, 400 to 1,000 ms after their last bound.

Change: while the rate is unknown a bound allows what waits and 0.2% of what is prepaid. A bound that stands for 800 ms is renewed before it grows. For a team that nothing was asked for a home holds nothing, otherwise 2% at first. Bounds allow 250 ms of demand, not 400; a raised bound takes the reports of the other teams into its append, if no record is under way.

Tests changed: TestRestartedMachineInheritsNothing serves a request first, since a wallet without demand has no grant to inherit. longOutages has the room of a twentieth that InitialShare gave.

--- a/bench/kcrmeasure/stranded.go
+++ b/bench/kcrmeasure/stranded.go
@@ -27,6 +27,7 @@
 	logRoundTrip    = 10 * kcrclock.Millisecond
 	maxLoanWait     = 400 * kcrclock.Millisecond
 	homeTick        = 200 * kcrclock.Millisecond
+	unspentInterval = 600 * kcrclock.Millisecond // between two questions of a router for what is left
 	homeDownTime    = 600 * kcrclock.Millisecond
 	strandedAfter   = 4 * kcrclock.Second
 	budgetSpan      = 44 * kcrclock.Second
@@ -37,14 +38,42 @@
 	strandedSeeds   = 20
 )
 
-// strandedFault is a fault of the simulation. At KilledAt the home is killed and started
-// again on its machine, which keeps running unless PowerLost is set. The log is down in
-// the given range, nil for never.
+// strandedFault is a fault of the simulation. At KilledAt, and again each KilledEvery until
+// KilledUntil, the home is killed and started again on its machine, or with Machines above 1 on the next
+// of them. The machines keep running unless PowerLost is set. Teams send nothing from IdleFrom on,
+// 0 for never. The log is down in the given range, nil for never.
 type strandedFault struct {
-	name      string
-	killedAt  kcrclock.Time
-	powerLost bool
-	logDown   func(kcrclock.Time) bool
+	name        string
+	killedAt    kcrclock.Time
+	killedUntil kcrclock.Time
+	killedEvery kcrclock.Duration
+	machines    int
+	powerLost   bool
+	idleFrom    kcrclock.Time
+	logDown     func(kcrclock.Time) bool
+}
+
+// lastKilledAt returns the time of the last kill, 0 if there is none.
+func (f strandedFault) lastKilledAt() kcrclock.Time { return max(f.killedAt, f.killedUntil) }
+
+// kills returns the number of kills.
+func (f strandedFault) kills() int {
+	if f.killedEvery == 0 {
+		return 1
+	}
+	return 1 + int(f.killedUntil.Sub(f.killedAt)/f.killedEvery)
+}
+
+// killsAt reports whether the home is killed in the step that begins now.
+func (f strandedFault) killsAt(now kcrclock.Time) bool {
+	since := now.Sub(f.killedAt)
+	if f.killedAt == 0 || since < 0 || now.Sub(f.lastKilledAt()) >= strandedStep {
+		return false
+	}
+	if f.killedEvery > 0 {
+		since %= f.killedEvery
+	}
+	return since < strandedStep
 }
 
 // strandedFaults returns the faults in the order of the table.
@@ -55,7 +84,13 @@
 		{name: "home killed early", killedAt: 6 * second},
 		{name: "home killed late", killedAt: 34 * second},
 		{name: "power lost early", killedAt: 6 * second, powerLost: true},
+		{name: "power lost at once", killedAt: second, powerLost: true},
 		{name: "power lost late", killedAt: 34 * second, powerLost: true},
+		{name: "home killed each second", killedAt: 4 * second, killedUntil: 24 * second, killedEvery: kcrclock.Second},
+		{name: "homes killed in turn", killedAt: 4 * second, killedUntil: 24 * second, killedEvery: kcrclock.Second, machines: 2},
+		{name: "idle, killed each 6 s", killedAt: 6 * second, killedUntil: 36 * second, killedEvery: 6 * kcrclock.Second, idleFrom: 2 * second},
+		{name: "idle, killed in turn", killedAt: 4 * second, killedUntil: 24 * second, killedEvery: kcrclock.Second, machines: 2, idleFrom: 2 * second},
+		{name: "idle, power lost", killedAt: 6 * second, powerLost: true, idleFrom: 2 * second},
 		{name: "log down 3 s", logDown: between(10*kcrclock.Second, 13*kcrclock.Second)},
 		{name: "log down, home killed", killedAt: 34 * second, logDown: between(32*kcrclock.Second, 35*kcrclock.Second)},
 	}
@@ -94,9 +129,11 @@
 	bootedAt  kcrclock.Time // when the home's machine was started
 	home      *kcrbudget.Wallet
 	homeCount int
-	applied   int           // records that the home has read
-	stream    [][]byte      // records on the log
-	appendAt  kcrclock.Time // when the append under way takes effect, 0 if there is none
+	downSince kcrclock.Time   // when the home was killed
+	started   []kcrclock.Time // when the process on each machine was started
+	applied   int             // records that the home has read
+	stream    [][]byte        // records on the log
+	appendAt  kcrclock.Time   // when the append under way takes effect, 0 if there is none
 	appending [][]byte
 	teams     []*strandedTeam
 	result    strandedResult
@@ -110,6 +147,10 @@
 		demand := float64(meanLoanTokens) * float64(budgetSpan) / float64(interval)
 		s.teams = append(s.teams, &strandedTeam{plan: kcrid.Plan(fmt.Sprint("team-", i)), interval: interval, prepaid: kcrid.Tokens(demand)})
 	}
+	s.started = make([]kcrclock.Time, max(1, fault.machines))
+	for i := range s.started {
+		s.started[i] = s.now
+	}
 	s.startHome()
 	for ; s.now < kcrclock.Time(strandedLength); s.now = s.now.Add(strandedStep) {
 		s.step()
@@ -120,31 +161,34 @@
 // startHome starts a home in place of the one before.
 func (s *strandedSim) startHome() {
 	s.homeCount++
+	machine := s.homeCount % len(s.started)
 	s.applied, s.appending, s.appendAt = 0, nil, 0
 	bootedAt := s.bootedAt
 	s.home = kcrbudget.NewWallet(kcrbudget.WalletConfig{
-		Self:        kcrid.IncarnationOf("vm", fmt.Sprint(s.homeCount)),
-		BootClock:   kcrbudget.BootClock{Now: func() kcrclock.Time { return s.now - bootedAt + 1 }, BootID: 1, BootedAt: bootedAt},
-		LedgerRules: kcrbudget.DefaultLedgerRules(), Policy: s.policy, Rules: kcrbudget.DefaultWalletRules(),
+		Self:         kcrid.IncarnationOf(kcrid.VM(fmt.Sprint("vm", machine)), fmt.Sprint(s.homeCount)),
+		BootClock:    kcrbudget.BootClock{Now: func() kcrclock.Time { return s.now - bootedAt + 1 }, BootID: 1, BootedAt: bootedAt},
+		ProcessStart: s.started[machine] - bootedAt + 1,
+		LedgerRules:  kcrbudget.DefaultLedgerRules(), Policy: s.policy, Rules: kcrbudget.DefaultWalletRules(),
 	})
 }
 
 // step advances the simulation by one step.
 func (s *strandedSim) step() {
-	if s.now.Sub(s.fault.killedAt) >= 0 && s.now.Sub(s.fault.killedAt) < strandedStep && s.fault.killedAt > 0 {
-		s.home = nil
+	if s.fault.killsAt(s.now) {
+		s.home, s.downSince = nil, s.now
 	}
-	if s.home == nil && s.now.Sub(s.fault.killedAt) >= homeDownTime {
+	if s.home == nil && s.now.Sub(s.downSince) >= homeDownTime {
 		if s.fault.powerLost {
 			s.bootedAt = s.now
 		}
+		s.started[s.homeCount%len(s.started)] = s.now
 		s.startHome()
 	}
 	s.exchangeRecords()
 	for _, t := range s.teams {
 		s.serveTeam(t)
 	}
-	if at := s.fault.killedAt.Add(strandedAfter); s.fault.killedAt > 0 && s.now >= at && s.now < at.Add(strandedStep) {
+	if at := s.fault.lastKilledAt().Add(strandedAfter); s.fault.killedAt > 0 && s.now >= at && s.now < at.Add(strandedStep) {
 		s.result.outOfUse = s.outOfUse()
 	}
 }
@@ -178,7 +222,11 @@
 
 // serveTeam lends to the requests of a team that wait or arrive.
 func (s *strandedSim) serveTeam(t *strandedTeam) {
-	if s.now >= t.nextAt {
+	idle := s.fault.idleFrom > 0 && s.now >= s.fault.idleFrom
+	if idle && s.home != nil && int64(s.now)%int64(unspentInterval) < int64(strandedStep) {
+		s.home.Lend(s.now, t.plan, 0, 0)
+	}
+	if s.now >= t.nextAt && !idle {
 		t.nextAt = s.now.Add(kcrclock.Duration(s.random.ExpFloat64() * float64(t.interval)))
 		tokens := kcrid.Tokens(meanLoanTokens * math.Exp(loanTokenSpread*s.random.NormFloat64()-loanTokenSpread*loanTokenSpread/2))
 		s.result.requests++
--- a/kernel/kcrbudget/claim.go
+++ b/kernel/kcrbudget/claim.go
@@ -35,10 +35,21 @@
 	return Pending
 }
 
-// raiseBound raises the bound of a plan to make room for a waiting request.
+// raiseBound raises the bound of a plan to make room for a waiting request. If no record is under way,
+// the other plans report in the same append, which spares one of their own.
 func (w *Wallet) raiseBound(now kcrclock.Time, p kcrid.Plan, ps *walletPlanState, worstCase kcrid.Tokens) {
-	if ps.raiseSeq == 0 {
-		ps.raiseSeq = w.reportSpending(now, p, ps, 0, worstCase)
+	if ps.raiseSeq != 0 {
+		return
+	}
+	alone := w.outbox.Len() > 0
+	ps.raiseSeq = w.reportSpending(now, p, ps, 0, worstCase)
+	if alone {
+		return
+	}
+	for _, other := range sortedKeys(w.planStates) {
+		if state := w.planStates[other]; state.drawn() != state.lastReported {
+			w.reportSpending(now, other, state, 0, 0)
+		}
 	}
 }
 
--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -14,6 +14,7 @@
 	WorstCase     kcrid.Tokens // worst-case size of the request that is waiting, 0 if none is
 	SpendRate     float64      // tokens spent here per second, smoothed
 	RateUnknown   bool         // demand has not been observed for long enough
+	NoDemand      bool         // no demand was seen here, and no request waits
 	DemandShare   float64      // fraction of the plan's total demand that arrives here, 0 to 1
 	Free          kcrid.Tokens // granted to this holder, neither reserved nor spent
 	Available     kcrid.Tokens // on the ledger, not granted to any holder
@@ -79,6 +80,7 @@
 	Horizon        kcrclock.Duration // duration of demand that is held
 	MaxShare       float64           // maximum fraction of the unspent tokens that is held
 	InitialShare   float64           // fraction of the unspent tokens held while the rate is unknown
+	InitialRoom    float64           // fraction of the prepaid tokens that a bound allows at once, and then per second, while the rate is unknown
 	BoundHorizon   kcrclock.Duration // duration of demand that a bound allows at once
 	BoundDelay     kcrclock.Duration // time after which a bound grows; a process that is killed is back before it
 	BoundGrowth    float64           // growth of a bound, as a multiple of the demand rate
@@ -90,7 +92,7 @@
 // smaller values make callers wait. What is held becomes less as a budget runs out, since
 // the end of the budget is missing what a power loss takes.
 func ShortOutageConfig() OutageConfig {
-	return OutageConfig{Horizon: 2 * kcrclock.Second, MaxShare: 0.03, InitialShare: 0.05, BoundHorizon: 400 * kcrclock.Millisecond, BoundDelay: kcrclock.Second, BoundGrowth: 2, MinBoundGrowth: 0.004}
+	return OutageConfig{Horizon: 2 * kcrclock.Second, MaxShare: 0.03, InitialShare: 0.02, InitialRoom: 0.002, BoundHorizon: 250 * kcrclock.Millisecond, BoundDelay: kcrclock.Second, BoundGrowth: 2, MinBoundGrowth: 0.004}
 }
 
 // keepHorizon is the duration of demand that a holder keeps when it returns escrow for
@@ -111,7 +113,10 @@
 	return Policy{
 		Target: func(v PlanView) kcrid.Tokens {
 			unspent := float64(max(0, v.Available+v.Free+v.OthersUnspent))
-			if v.RateUnknown {
+			switch {
+			case v.NoDemand:
+				return 0
+			case v.RateUnknown:
 				return kcrid.Tokens(o.InitialShare * unspent)
 			}
 			return kcrid.Tokens(min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*unspent*max(v.DemandShare, minDemandShare)))
@@ -121,13 +126,13 @@
 			return max(0, min(unmet, v.Free-keep))
 		},
 		Bound: func(v PlanView) BoundTerms {
+			initial := kcrid.Tokens(0)
 			if v.RateUnknown {
-				initial := kcrid.Tokens(o.InitialShare * float64(v.Prepaid))
-				return BoundTerms{Room: initial + v.WorstCase, Rate: initial, Delay: o.BoundDelay}
+				initial = kcrid.Tokens(o.InitialRoom * float64(v.Prepaid))
 			}
 			return BoundTerms{
-				Room:  kcrid.Tokens(v.SpendRate*o.BoundHorizon.Seconds()) + v.WorstCase,
-				Rate:  kcrid.Tokens(o.BoundGrowth*v.SpendRate + o.MinBoundGrowth*float64(v.Prepaid)),
+				Room:  max(initial, kcrid.Tokens(v.SpendRate*o.BoundHorizon.Seconds())) + v.WorstCase,
+				Rate:  max(initial, kcrid.Tokens(o.BoundGrowth*v.SpendRate+o.MinBoundGrowth*float64(v.Prepaid))),
 				Delay: o.BoundDelay,
 			}
 		},
@@ -146,6 +151,7 @@
 			return 0
 		}
 		initial := kcrid.Tokens(0)
+		v.NoDemand = false
 		if v.RateUnknown {
 			initial = target(v) / kcrid.Tokens(max(1, holders()))
 			v.RateUnknown = false
--- a/kernel/kcrbudget/report.go
+++ b/kernel/kcrbudget/report.go
@@ -61,7 +61,7 @@
 		switch {
 		case free > keep && ps.claimSeq == 0 && w.ledger.Grant(w.self, p).Amount-ps.returning > ps.maxReported:
 			w.reportSpending(now, p, ps, free-keep, 0)
-		case ps.drawn() != ps.lastReported:
+		case ps.drawn() != ps.lastReported || w.isBoundDue(now, p, ps):
 			w.reportSpending(now, p, ps, 0, 0)
 		}
 	}
@@ -70,6 +70,16 @@
 	}
 }
 
+// isBoundDue reports whether the bound of a grant is to be renewed although nothing was drawn: what it
+// allows grows, and a successor counts all of that as spent.
+func (w *Wallet) isBoundDue(now kcrclock.Time, p kcrid.Plan, ps *walletPlanState) bool {
+	if w.ledger.Grant(w.self, p).Amount == 0 || len(ps.sentBounds) == 0 {
+		return false
+	}
+	newest := ps.sentBounds[len(ps.sentBounds)-1]
+	return now.Sub(newest.at) >= boundLifetime
+}
+
 // reportInterval returns the time between two reports: longer with many holders, each of
 // which reads the reports of all.
 func (w *Wallet) reportInterval(now kcrclock.Time) kcrclock.Duration {
@@ -107,6 +117,11 @@
 	return ps.rateSince == 0 || now.Sub(ps.rateSince) < minRateObservation
 }
 
+// noDemand reports whether nothing was reserved, lent or claimed here, and no loan waits.
+func (ps *walletPlanState) noDemand() bool {
+	return !ps.hasClaimed && ps.rateSince == 0 && ps.expectedSpending <= 0 && ps.waiting == 0
+}
+
 // updateRates updates the smoothed demand rates. Early in the measurement the rate
 // is the plain average.
 func (ps *walletPlanState) updateRates(now kcrclock.Time, spentByOthers kcrid.Tokens) {
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -90,6 +90,8 @@
 	// holdersPerReport is the number of live holders for which a report interval is
 	// walletReportInterval long. With more holders it is longer in proportion.
 	holdersPerReport = 8
+	// boundLifetime is how long a bound stands although nothing is drawn.
+	boundLifetime = 800 * kcrclock.Millisecond
 	// walletRateWindow is the time constant for smoothing the demand rate.
 	walletRateWindow = 2 * kcrclock.Second
 	// rateUpdateInterval is the minimum time between two updates of the rates.
@@ -294,7 +296,7 @@
 		share = ps.rate / (ps.rate + ps.othersRate)
 	}
 	return PlanView{
-		WorstCase: worstCase, SpendRate: ps.rate, RateUnknown: ps.rateUnknown(now), DemandShare: share, Free: w.free(p, ps),
+		WorstCase: worstCase, SpendRate: ps.rate, RateUnknown: ps.rateUnknown(now), NoDemand: ps.noDemand() && worstCase == 0, DemandShare: share, Free: w.free(p, ps),
 		Available: a.Available(), OthersUnspent: w.unspentByLiveHolders(now, p), Prepaid: a.Prepaid,
 	}
 }
--- a/kernel/kcrbudget/wallet_test.go
+++ b/kernel/kcrbudget/wallet_test.go
@@ -30,7 +30,7 @@
 // longOutages returns a configuration with a long horizon, so that the schedules
 // spend much and a fault has many chances to overspend.
 func longOutages() kcrbudget.OutageConfig {
-	return kcrbudget.OutageConfig{Horizon: 9 * kcrclock.Second, MaxShare: 0.8, InitialShare: 0.05, BoundHorizon: 600 * kcrclock.Millisecond, BoundGrowth: 1.7, MinBoundGrowth: 0.004}
+	return kcrbudget.OutageConfig{Horizon: 9 * kcrclock.Second, MaxShare: 0.8, InitialShare: 0.05, InitialRoom: 0.05, BoundHorizon: 600 * kcrclock.Millisecond, BoundGrowth: 1.7, MinBoundGrowth: 0.004}
 }
 
 // run is a request that has not ended.
@@ -382,6 +382,10 @@
 				f.now += 60
 			}
 		}
+		f.read(f.routers[0])
+		f.write(f.routers[0], false, false)
+		f.read(f.routers[0])
+		f.serve(f.routers[0], 100, 100) // claims
 		exchangeRecords(f.routers[0])
 		f.bootedAt = bootedAt
 		f.replace(f.routers[0], true)
