Gateway: requests wait for an upstream on trial as before

Cause: since placing and waiting have one answer, a request waits for an upstream on trial after a pause only if the time of its next trial, up to 100 ms later, is soon enough. But an answer ends the trial, mostly sooner; the time of a place at the earliest is now.

--- a/router/kcrgateway/admission.go
+++ b/router/kcrgateway/admission.go
@@ -153,6 +153,9 @@
 		return 0, false
 	}
 	place, ok := x.nextPlace()
+	if place.Hold == kcrplacement.OnTrial {
+		return 0, true // an answer ends the trial at any time
+	}
 	return place.At, ok && place.At < latest
 }
 
