Escrow for a crowd at one router taken out again

Change: reverted. TestWaitForEscrowEnds stays, for the waits as they are without the queue: no order, and what waits is counted by the test.

--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -44,6 +44,7 @@
 
 // Timing and sizes of connections.
 const (
+	dialTimeout = 200 * time.Millisecond
 	// defaultKeepAlive applies if the upstream does not state how long it keeps an
 	// idle connection open.
 	defaultKeepAlive = 4 * kcrclock.Second
@@ -59,9 +60,9 @@
 
 // pool keeps idle connections. It is safe for concurrent use.
 type pool struct {
-	dialTimer dialTimer
-	maxOpen   int
-	open      atomic.Int64 // connections that are open or being opened
+	dialer  net.Dialer
+	maxOpen int
+	open    atomic.Int64 // connections that are open or being opened
 
 	mu   sync.Mutex
 	idle map[string][]*upstreamConn // by VM and address, most recently used last
@@ -71,6 +72,7 @@
 func newPool(maxOpen int) *pool {
 	return &pool{
 		maxOpen: maxOpen,
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUpstreamOptions},
 		idle:    map[string][]*upstreamConn{},
 	}
 }
@@ -153,13 +155,9 @@
 		p.open.Add(-1)
 		return nil, errTooManyOpen
 	}
-	usual := p.dialTimer.timeout()
-	dialer := net.Dialer{Timeout: min(usual, within), KeepAlive: -1, Control: setUpstreamOptions}
-	start := time.Now()
+	dialer := p.dialer
+	dialer.Timeout = min(dialer.Timeout, within)
 	conn, err := dialer.Dial("tcp", addr)
-	if err == nil || within >= usual { // a request with little time left shows nothing
-		p.dialTimer.record(addr, time.Since(start), err)
-	}
 	if err != nil {
 		p.open.Add(-1)
 		return nil, err
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -251,8 +251,7 @@
 		return true
 	}
 	budget, start := &x.gateway.config.Budget, x.gateway.clock.Now()
-	wait := x.admissionWait(start)
-	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), x.order(), wait.Longest(start), x.cancelled)
+	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), x.admissionWait(start).Longest(start), x.cancelled)
 	now := x.gateway.clock.Now()
 	x.budgetWait = now.Sub(start)
 	switch {
@@ -268,8 +267,7 @@
 	case budget.StoreIsLost():
 		return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterOutage)
 	}
-	x.respondAt(statusUnavailable, "budget "+outcome.String(), budget.ReturnAfter(x.team.Name, x.usage.maxTokens()))
-	return false
+	return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterMedium)
 }
 
 // admissionWait returns what bounds the wait of the request for tokens of its team.
@@ -281,15 +279,6 @@
 	return wait
 }
 
-// order returns the place of the request among those of its team that wait for escrow.
-func (x *exchange) order() kcrbudget.Order {
-	order := kcrbudget.Order{RouteRank: x.route.Priority, Deadline: x.deadline}
-	if x.team.Priority >= 0 {
-		order.TeamRank = x.team.Priority
-	}
-	return order
-}
-
 // forward makes attempts until there is a response, and returns the tokens to
 // charge.
 func (x *exchange) forward() kcrid.Tokens {
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -23,21 +23,19 @@
 type bucket struct {
 	number      kcrid.Bucket
 	wallet      *kcrbudget.Wallet
-	queue       *kcrbudget.Queue // requests that wait for escrow
-	loans       *kcrbudget.LoanDesk
 	newFollower func() *kcrdaemon.Follower
 
 	mu              sync.Mutex
 	follower        *kcrdaemon.Follower // nil while homes answer
+	loans           map[kcrid.Plan]bool // plans with a loan in progress
 	refusals        map[kcrid.Plan]refusal
 	prefetchAfter   map[kcrid.Plan]kcrclock.Time // nothing is prefetched before this time
-	borrowAfter     map[kcrid.Plan]kcrclock.Time // nothing is borrowed before this time
 	lastLoanAt      kcrclock.Time                // start of the last loan
 	unansweredSince kcrclock.Time                // first loan that no home answered, 0 after an answer
 	unansweredAt    kcrclock.Time                // last loan that no home answered
 }
 
-// refusal records that the budget of a plan does not cover an amount of tokens.
+// refusal records that the budget of a plan did not cover an amount of tokens.
 type refusal struct {
 	need kcrid.Tokens
 	at   kcrclock.Time
@@ -52,17 +50,10 @@
 	// borrowInterval is how often a request that waits for escrow tries to borrow again
 	// while nothing changes.
 	borrowInterval = 20 * time.Millisecond
-	// minAnswerTimeout is how long a home has at least to answer before the next is asked.
-	minAnswerTimeout = 250 * kcrclock.Millisecond
+	// homeAnswerTimeout is how long a home has to answer before the next is asked.
+	homeAnswerTimeout = 250 * time.Millisecond
 	// homeCallTimeout is how long the answer of a home still counts.
 	homeCallTimeout = time.Second
-	// askAgainPause is the time before a home is asked for the answer to a call that failed,
-	// maxAsksAgain how often that is done.
-	askAgainPause = 200 * time.Millisecond
-	maxAsksAgain  = 4
-	// exhaustedPause is the time between two loans of a plan of which no home can lend enough
-	// for any request.
-	exhaustedPause = 50 * kcrclock.Millisecond
 	// refusalLifetime is how long a refusal is applied to further requests without
 	// asking a home again.
 	refusalLifetime = 100 * kcrclock.Millisecond
@@ -87,40 +78,25 @@
 
 // Reserve takes the worst case of a request, in tokens, out of a team's budget. If
 // escrow is missing but may still arrive, it waits for it up to maxWait, or until
-// callerLeft is closed. Requests that wait get theirs in the given order.
-func (n *Node) Reserve(team kcrid.Team, worstCase kcrid.Tokens, order kcrbudget.Order, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome {
+// callerLeft is closed.
+func (n *Node) Reserve(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome {
 	b, plan := n.bucketOf(team), kcrid.Plan(team)
-	waiting := b.queue.Join(plan, worstCase, order)
-	outcome := n.awaitEscrow(b, plan, worstCase, waiting, maxWait, callerLeft)
-	if b.queue.Leave(plan, waiting) {
-		return kcrbudget.Granted
-	}
-	if outcome != kcrbudget.BudgetExhausted {
-		n.escrowPending.Inc()
-	}
-	return outcome
-}
-
-// awaitEscrow grants escrow to the requests of a plan that wait, and borrows, until the given
-// one has its tokens or cannot get them in time.
-func (n *Node) awaitEscrow(b *bucket, plan kcrid.Plan, worstCase kcrid.Tokens, waiting *kcrbudget.Waiting, maxWait kcrclock.Duration, callerLeft <-chan struct{}) (outcome kcrbudget.ReserveOutcome) {
 	start := n.clock.Now()
 	var timer *time.Timer
 	for {
 		changed := n.escrowChanged.Wait()
 		now := n.clock.Now()
-		outcome = n.grantWaiting(now, b, plan)
-		granted, waits := b.queue.State(waiting)
+		outcome := b.wallet.Reserve(now, plan, worstCase)
 		remaining := maxWait - now.Sub(start)
 		switch {
-		case granted:
-			return kcrbudget.Granted
+		case outcome == kcrbudget.Granted || outcome == kcrbudget.BudgetExhausted:
+			return outcome
 		case b.refusedRecently(now, plan, worstCase):
 			return kcrbudget.BudgetExhausted
-		case remaining <= 0 || !waits:
+		case remaining <= 0:
 			return outcome
 		}
-		n.borrow(b, plan)
+		n.borrow(b, plan, worstCase)
 		if timer == nil {
 			timer = time.NewTimer(remaining.Std())
 			defer timer.Stop()
@@ -136,28 +112,6 @@
 	}
 }
 
-// grantWaiting grants escrow to the requests of a plan that wait, in order, and returns the
-// outcome of the last one that got none.
-func (n *Node) grantWaiting(now kcrclock.Time, b *bucket, plan kcrid.Plan) (outcome kcrbudget.ReserveOutcome) {
-	outcome = kcrbudget.Pending
-	granted := b.queue.Grant(now, plan, func(tokens kcrid.Tokens) bool {
-		o := b.wallet.Reserve(now, plan, tokens)
-		if o != kcrbudget.Granted {
-			outcome = o
-		}
-		return o == kcrbudget.Granted
-	})
-	if granted > 1 {
-		n.escrowChanged.Broadcast()
-	}
-	return outcome
-}
-
-// ReturnAfter returns when a request that waited for escrow in vain may come back.
-func (n *Node) ReturnAfter(team kcrid.Team, worstCase kcrid.Tokens) kcrclock.Duration {
-	return n.bucketOf(team).queue.ReturnAfter(n.clock.Now(), kcrid.Plan(team), worstCase)
-}
-
 // Settle ends a reservation of worstCase tokens, of which used were spent.
 func (n *Node) Settle(team kcrid.Team, worstCase, used kcrid.Tokens) {
 	n.bucketOf(team).wallet.Settle(kcrid.Plan(team), worstCase, used)
@@ -181,7 +135,7 @@
 // only while there is no home: otherwise the homes tell the router all that it has
 // to know about budgets.
 func (n *Node) newBucket(c Config, i int) *bucket {
-	b := &bucket{number: kcrid.Bucket(i), queue: kcrbudget.NewQueue(), loans: kcrbudget.NewLoanDesk(), refusals: map[kcrid.Plan]refusal{}, prefetchAfter: map[kcrid.Plan]kcrclock.Time{}, borrowAfter: map[kcrid.Plan]kcrclock.Time{}}
+	b := &bucket{number: kcrid.Bucket(i), loans: map[kcrid.Plan]bool{}, refusals: map[kcrid.Plan]refusal{}, prefetchAfter: map[kcrid.Plan]kcrclock.Time{}}
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
 		Self: c.Self, Borrower: true, BootClock: c.BootClock, LedgerRules: kcrbudget.DefaultLedgerRules(),
 		Policy: kcrbudget.NoLenderPolicy(func() bool { return n.lacksHome(b) }, n.escrowSharers, c.EscrowPolicy), Rules: kcrbudget.DefaultWalletRules(),
@@ -267,40 +221,40 @@
 	return now >= b.prefetchAfter[plan]
 }
 
-// mayBorrow reports whether a home may lend something for a plan.
-func (b *bucket) mayBorrow(now kcrclock.Time, plan kcrid.Plan) bool {
+// beginLoan marks a loan as in progress. It returns false if one for the plan is in
+// progress already.
+func (b *bucket) beginLoan(now kcrclock.Time, plan kcrid.Plan) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now >= b.borrowAfter[plan]
+	if b.loans[plan] {
+		return false
+	}
+	b.loans[plan] = true
+	b.lastLoanAt = now
+	return true
 }
 
-// recordLoanStart records when the last loan began.
-func (b *bucket) recordLoanStart(now kcrclock.Time) {
+// endLoan marks the loan of a plan as ended.
+func (b *bucket) endLoan(plan kcrid.Plan) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lastLoanAt = now
+	delete(b.loans, plan)
 }
 
-// recordLoan records the answer of a home to a loan. It refuses requests that what this router
-// holds, what its requests are expected to leave, and what homes may still lend do not cover.
-// Nothing is prefetched for a time if the home lent little of the wanted tokens.
-func (b *bucket) recordLoan(now kcrclock.Time, plan kcrid.Plan, loan kcrbudget.Loan, wanted kcrid.Tokens) {
-	inFlight := max(0, b.loans.InFlight(plan)-wanted) // of other loans
-	covered := max(0, b.wallet.Holding(plan).Free) + b.wallet.Returning(plan) + inFlight + loan.Tokens + loan.Reach
+// recordLoan records the answer of a home to a request that needs need tokens.
+// pausePrefetch is set if the home lent little.
+func (b *bucket) recordLoan(now kcrclock.Time, plan kcrid.Plan, need kcrid.Tokens, loan kcrbudget.Loan, pausePrefetch bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.unansweredSince = 0
-	if 2*loan.Tokens < wanted {
+	if pausePrefetch {
 		b.prefetchAfter[plan] = now.Add(prefetchPause)
 	}
-	if loan.Outcome != kcrbudget.Granted && loan.Outcome != kcrbudget.Pending && loan.Outcome != kcrbudget.BudgetExhausted {
-		delete(b.refusals, plan)
-		return
-	}
 	if loan.Outcome == kcrbudget.BudgetExhausted {
-		b.borrowAfter[plan] = now.Add(exhaustedPause)
+		b.refusals[plan] = refusal{need: need, at: now}
+		return
 	}
-	b.refusals[plan] = refusal{need: covered + 1, at: now}
+	delete(b.refusals, plan)
 }
 
 // recordExhausted records that the budget on the ledger does not cover a request.
