--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -180,7 +180,7 @@
 		ListenAddr: c.ListenAddr, HeaderNames: c.HeaderNames, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
-		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut, LinkBytesPerSecond: c.LinkBytes,
+		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
 		Budget: kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
 	})
 	if err != nil {
