--- a/kernel/kcrmemory/share.go
+++ b/kernel/kcrmemory/share.go
@@ -50,11 +50,14 @@
 	return m
 }
 
+// connections returns a percentage of the descriptors, at least one.
+func (m Machine) connections(percent int) int { return max(1, m.Descriptors*percent/100) }
+
 // Callers returns the limits of a router's connections to callers.
 func (m Machine) Callers() Limits {
 	m = m.known()
 	l := Limits{
-		Connections: int(min(int64(m.Descriptors*callersPercent/100), m.Memory/connectionsDivisor/connectionBytes)),
+		Connections: int(min(int64(m.connections(callersPercent)), m.Memory/connectionsDivisor/connectionBytes)),
 		Heads:       int(m.Memory / headsDivisor / headBytes),
 	}
 	l.Bytes[Bodies] = m.Memory / bodiesDivisor
@@ -64,7 +67,7 @@
 }
 
 // Upstreams returns the most connections to upstreams.
-func (m Machine) Upstreams() int { return m.known().Descriptors * upstreamsPercent / 100 }
+func (m Machine) Upstreams() int { return m.known().connections(upstreamsPercent) }
 
 // Peers returns the limits of connections of other processes to a router.
 func (m Machine) Peers() Limits { return m.sessions(peersPercent) }
@@ -74,7 +77,7 @@
 
 func (m Machine) sessions(percent int) Limits {
 	m = m.known()
-	l := Limits{Connections: m.Descriptors * percent / 100, Heads: m.Descriptors}
+	l := Limits{Connections: m.connections(percent), Heads: m.Descriptors}
 	l.Bytes[Messages] = m.Memory / messagesDivisor
 	return l
 }
@@ -82,5 +85,5 @@
 // Checks returns the limits of connections for health checks, or for metrics.
 func (m Machine) Checks() Limits {
 	m = m.known()
-	return Limits{Connections: m.Descriptors * checksPercent / 100, Heads: m.Descriptors}
+	return Limits{Connections: m.connections(checksPercent), Heads: m.Descriptors}
 }
