Metrics: the age of the load of others is not a number before the first digest

kcr_loads_age_seconds counted from the zero of the clock where no digest had come: a lone router, or one whose collectors never answered, showed its own age. Ruled out: 0, which says that the load is known, and the age of the desk, which alarms at each lone router; failed calls are counted on their own.

Before: TestAgeOfLoads 3600 s without a digest; now NaN, 1.5 s with one (-race ./kcrnode).

--- a/router/kcrnode/load.go
+++ b/router/kcrnode/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -45,6 +46,7 @@
 	upstreams int                      // with a process beside them
 	digestAt  kcrclock.Time            // when the load in the last digest was, in the mean
 	known     int                      // upstreams in the last digest
+	hasDigest bool
 }
 
 func newLoadDesk() *loadDesk {
@@ -108,14 +110,24 @@
 func (d *loadDesk) recordDigest(at kcrclock.Time, known int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.digestAt, d.known = at, known
+	d.digestAt, d.known, d.hasDigest = at, known, true
 }
 
-// state returns the age of the digest in force, and its number of upstreams.
-func (d *loadDesk) state(now kcrclock.Time) (age kcrclock.Duration, known int) {
+// ageSeconds returns the age of the digest in force for metrics, not a number if none has come.
+func (d *loadDesk) ageSeconds(now kcrclock.Time) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now.Sub(d.digestAt), d.known
+	if !d.hasDigest {
+		return math.NaN()
+	}
+	return now.Sub(d.digestAt).Seconds()
+}
+
+// knownUpstreams returns the number of upstreams in the digest in force.
+func (d *loadDesk) knownUpstreams() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known
 }
 
 // shareLoads tells this router's load and learns that of others, until ctx is done.
--- a/router/kcrnode/load_test.go
+++ b/router/kcrnode/load_test.go
@@ -1,6 +1,7 @@
 package kcrnode
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -45,3 +46,17 @@
 		t.Errorf("expected %q after the pause, got %q", first, own)
 	}
 }
+
+// TestAgeOfLoads checks that the age of the digest is not a number until there is one, also where the
+// clock began long before, and that a digest's own age counts.
+func TestAgeOfLoads(t *testing.T) {
+	t.Parallel()
+	d, now := newLoadDesk(), kcrclock.Time(3_600_000)
+	if age := d.ageSeconds(now); !math.IsNaN(age) {
+		t.Errorf("expected no age before the first digest, got %g s", age)
+	}
+	d.recordDigest(now.Add(-200), 3)
+	if age := d.ageSeconds(now.Add(1_300)); age != 1.5 {
+		t.Errorf("expected an age of 1.5 s, got %g s", age)
+	}
+}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -478,13 +478,11 @@
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
 	c.Metrics.MustRegister(n.loans, n.lostSessions, n.loads.calls, &paceCollector{paces: n.table.Paces})
-	gauge("kcr_loads_age_seconds", "Mean age of what is known of the load of other routers.", func() float64 {
-		age, _ := n.loads.state(n.clock.Now())
-		return age.Seconds()
+	gauge("kcr_loads_age_seconds", "Mean age of what is known of the load of other routers, NaN before the first digest.", func() float64 {
+		return n.loads.ageSeconds(n.clock.Now())
 	})
 	gauge("kcr_loads_upstreams", "Upstreams in the last digest of the load of other routers.", func() float64 {
-		_, known := n.loads.state(n.clock.Now())
-		return float64(known)
+		return float64(n.loads.knownUpstreams())
 	})
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
