Placement: the invariant of cached parts as it holds

The file said that parts and requests never exceed an engine's memory. Forgetting parts so that it holds was ruled out: the request that brings a long part is counted as running and holds it, so the part is there although it fits beside nothing.

--- a/kernel/kcrplacement/memory.go
+++ b/kernel/kcrplacement/memory.go
@@ -3,9 +3,11 @@
 import "kingcuprun.example/kernel/kcrid"
 
 // This file defines what a router knows of the memory of an engine, which running requests and
-// cached parts of prompts share. Invariants: the parts that are assumed to be cached, with the
-// requests of this router, never exceed the memory; the least recently used parts are forgotten
-// first, in two generations.
+// cached parts of prompts share. Invariants: as a part is noted, those of its generation fill at most
+// half of the room that the requests of this router leave, or it is alone there: the request that
+// brought it holds a part that does not fit beside it. Requests that start later make no part
+// forgotten until one is noted. The least recently used parts are forgotten first, in two
+// generations, of at most maxCachedParts together.
 
 // maxCachedParts bounds the parts remembered of an engine.
 const maxCachedParts = 4096
