--- a/kernel/kcradmission/inflow.go
+++ b/kernel/kcradmission/inflow.go
@@ -9,9 +9,8 @@
 // This file defines when what comes in fills a router's link. It answers the load of callers that
 // all come through one router: their requests alone fill its link, and no refusal keeps those
 // away. New connections to upstreams, homes and the store then time out, so the callers are
-// better served by other routers. Invariants: a link that is full stays so for minFull at least,
-// long enough for a load balancer to see it; one connection alone neither fills a link nor keeps
-// it full, since its long body is over, or goes on elsewhere, before a load balancer sees it.
+// better served by other routers. Invariant: a link that is full stays so for minFull at least,
+// long enough for a load balancer to see it.
 
 const (
 	// inflowWindow is the time over which bytes that came in are counted, in inflowSlots parts.
@@ -22,56 +21,19 @@
 	// below which it is not full any more. Packets have headers that are not counted.
 	fullShare = 0.85
 	freeShare = 0.6
-	// sourceShare is the part of the link's speed up to which one connection counts.
-	sourceShare = 0.5
 	// minFull is the shortest time for which a link is full.
 	minFull = 3 * kcrclock.Second
 )
 
-// window holds the bytes of the last inflowWindow.
-type window struct {
-	slots [inflowSlots]float64 // bytes by the time in which they came
-	last  kcrclock.Time        // number of the newest slot
-}
-
-// sum returns the bytes of the last inflowWindow.
-func (w *window) sum(now kcrclock.Time) (bytes float64) {
-	w.advance(now)
-	for _, n := range w.slots {
-		bytes += n
-	}
-	return bytes
-}
-
-// add adds bytes that came now.
-func (w *window) add(now kcrclock.Time, bytes float64) {
-	w.advance(now)
-	w.slots[w.last%inflowSlots] += bytes
-}
-
-// advance empties the slots that begin anew.
-func (w *window) advance(now kcrclock.Time) {
-	slot := now / kcrclock.Time(slotLength)
-	for i := max(w.last+1, slot-inflowSlots+1); i <= slot; i++ {
-		w.slots[i%inflowSlots] = 0
-	}
-	w.last = max(w.last, slot)
-}
-
 // Inflow measures what comes in on a link of known speed. It is safe for concurrent use.
 type Inflow struct {
 	capacity float64 // bytes in a window, 0 if unknown
 
-	mu       sync.Mutex
-	received window
-	full     bool
-	since    kcrclock.Time // when full became true
-}
-
-// Source is a connection on which bytes come in. It is safe for concurrent use.
-type Source struct {
-	inflow  *Inflow
-	counted window // protected by Inflow.mu
+	mu    sync.Mutex
+	slots [inflowSlots]float64 // bytes by the time in which they came
+	last  kcrclock.Time        // number of the newest slot
+	full  bool
+	since kcrclock.Time // when full became true
 }
 
 // NewInflow returns the measure of a link on which nothing has come in. With a speed of 0 bytes per
@@ -80,20 +42,15 @@
 	return &Inflow{capacity: bytesPerSecond * inflowWindow.Seconds()}
 }
 
-// NewSource returns a connection on which nothing has come in.
-func (f *Inflow) NewSource() *Source { return &Source{inflow: f} }
-
 // Received records bytes that have come in.
-func (s *Source) Received(now kcrclock.Time, bytes int) {
-	f := s.inflow
+func (f *Inflow) Received(now kcrclock.Time, bytes int) {
 	if f.capacity <= 0 || bytes <= 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := min(float64(bytes), max(0, sourceShare*f.capacity-s.counted.sum(now)))
-	s.counted.add(now, counts)
-	f.received.add(now, counts)
+	f.advance(now)
+	f.slots[f.last%inflowSlots] += float64(bytes)
 }
 
 // IsFull reports whether what comes in fills the link, or has done so a moment ago.
@@ -103,7 +60,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	received := f.received.sum(now)
+	f.advance(now)
+	received := 0.0
+	for _, n := range f.slots {
+		received += n
+	}
 	switch {
 	case !f.full && received >= fullShare*f.capacity:
 		f.full, f.since = true, now
@@ -112,3 +73,12 @@
 	}
 	return f.full
 }
+
+// advance empties the slots that begin anew.
+func (f *Inflow) advance(now kcrclock.Time) {
+	slot := now / kcrclock.Time(slotLength)
+	for i := max(f.last+1, slot-inflowSlots+1); i <= slot; i++ {
+		f.slots[i%inflowSlots] = 0
+	}
+	f.last = max(f.last, slot)
+}
--- a/router/kcrgateway/inflow.go
+++ b/router/kcrgateway/inflow.go
@@ -5,8 +5,6 @@
 	"io"
 	"time"
 
-	"kingcuprun.example/kernel/kcradmission"
-	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/link/kcrdaemon"
 )
 
@@ -19,22 +17,19 @@
 
 // countedReader counts what comes in.
 type countedReader struct {
-	reader io.Reader
-	source *kcradmission.Source
-	clock  kcrclock.Clock
+	reader  io.Reader
+	gateway *Gateway
 }
 
 // Read reads, and counts what it has read.
 func (r countedReader) Read(data []byte) (n int, err error) {
 	n, err = r.reader.Read(data)
-	r.source.Received(r.clock.Now(), n)
+	r.gateway.inflow.Received(r.gateway.clock.Now(), n)
 	return n, err
 }
 
-// counted returns a reader that counts what comes in on a connection.
-func (g *Gateway) counted(r io.Reader) io.Reader {
-	return countedReader{reader: r, source: g.inflow.NewSource(), clock: g.clock}
-}
+// counted returns a reader that counts what comes in.
+func (g *Gateway) counted(r io.Reader) io.Reader { return countedReader{reader: r, gateway: g} }
 
 // LinkIsFull reports whether what comes in fills the link of this machine.
 func (g *Gateway) LinkIsFull() bool { return g.inflow.IsFull(g.clock.Now()) }
