Gateway: waits at a router end in time

A wait for escrow was bounded by half of the time left, whatever the answer needs; a connection could be waited for past the deadline, and was then used though its upstream had left meanwhile; waits went on as a planned stop began. Change: kcradmission.Wait bounds the wait for escrow by the deadline less the link's delay and the expected first token; what is granted too late is given back and refused, as not run. A connection takes no longer than its request has. An upstream that left, or said so, while the connection was opened gets nothing. Waits for escrow and places end as a planned stop begins.

--- a/kernel/kcrplacement/notice.go
+++ b/kernel/kcrplacement/notice.go
@@ -61,6 +61,14 @@
 	return ok && startedAt <= left
 }
 
+// Stays reports whether the upstream is still in service, and has not said since that it leaves.
+func (c *Choice) Stays() bool {
+	s := c.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[c.ID] == c.state && !c.state.Emptied && !s.leaves(c.ID, c.StartedAt)
+}
+
 // Pauses records that the upstream wants no requests for a time. A time that is not positive or
 // is longer than a minute makes no sense and is ignored. It reports whether the time was accepted,
 // and whether that is worth a line in the log: a senseless one is once for each upstream.
--- a/kernel/kcrplacement/notice_test.go
+++ b/kernel/kcrplacement/notice_test.go
@@ -148,3 +148,22 @@
 		t.Errorf("after the upstream of v1 left: expected only v2, got %v and %v", table.HasVersion("s", "v1"), table.HasVersion("s", "v2"))
 	}
 }
+
+// A choice shows that its upstream has left, started again, or said that it leaves, since it was made.
+func TestChoiceShowsThatItsUpstreamLeft(t *testing.T) {
+	for name, leave := range map[string]func(*noticeFleet, *kcrplacement.Choice){
+		"missing":       func(f *noticeFleet, _ *kcrplacement.Choice) { f.update(0) },
+		"started again": func(f *noticeFleet, _ *kcrplacement.Choice) { f.born[0]++; f.update(-1) },
+		"leaves":        func(_ *noticeFleet, c *kcrplacement.Choice) { c.Leaves() },
+	} {
+		f := &noticeFleet{table: kcrplacement.New("z", kcrplacement.DefaultWeights()), now: 1000, born: [4]int64{1, 1, 1, 1}}
+		f.update(-1)
+		choice := f.table.Choose(f.now, kcrplacement.Request{Service: "s", Excluded: []kcrid.VM{"1", "2", "3"}})
+		if f.update(1); !choice.Stays() {
+			t.Errorf("%s: expected the upstream to stay as another is missing", name)
+		}
+		if leave(f, choice); choice.Stays() {
+			t.Errorf("%s: expected the choice to show it", name)
+		}
+	}
+}
--- a/router/kcrgateway/caller.go
+++ b/router/kcrgateway/caller.go
@@ -161,7 +161,7 @@
 
 	callerLeft  atomic.Bool   // the caller has disconnected
 	aborted     atomic.Bool   // the time of a planned stop has passed
-	cancelled   chan struct{} // closed by abandon and abort
+	cancelled   chan struct{} // closed by endWait
 	closeCancel sync.Once
 	mu          sync.Mutex
 	activeConn  *upstreamConn // carries the current attempt, nil between attempts
@@ -222,7 +222,7 @@
 
 // endAttempt ends the current attempt by closing its connection, and the wait for escrow.
 func (x *exchange) endAttempt() {
-	x.closeCancel.Do(func() { close(x.cancelled) })
+	x.endWait()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.activeConn != nil {
@@ -230,6 +230,9 @@
 	}
 }
 
+// endWait ends the wait for escrow or for a place, also one that has not begun.
+func (x *exchange) endWait() { x.closeCancel.Do(func() { close(x.cancelled) }) }
+
 // setActiveConn sets the connection that endAttempt closes. It reports whether the
 // exchange goes on.
 func (x *exchange) setActiveConn(c *upstreamConn) bool {
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -45,8 +45,8 @@
 // TeamBudget holds the functions that reserve and settle tokens of a team's budget.
 type TeamBudget struct {
 	// Reserve reserves worstCase tokens, the most that the request can use. It may
-	// wait up to maxWait for escrow, but not after callerLeft is closed.
-	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome
+	// wait up to maxWait for escrow, but not after waitEnds is closed.
+	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome
 	// Settle replaces a reservation of worstCase tokens by the used tokens.
 	Settle func(team kcrid.Team, worstCase, used kcrid.Tokens)
 	// StoreIsLost reports whether the store does not respond, so that no escrow can be granted.
@@ -339,6 +339,7 @@
 		defer cancel()
 	}
 	g.stopping.Store(true)
+	g.endWaits()
 	g.closeConns(listening)
 	_ = g.listener.Close()
 	select {
@@ -353,6 +354,18 @@
 	g.logger.Info("drained", "active", g.ActiveRequests(), "open", g.openConns(), "timeout", timedOut)
 }
 
+// endWaits ends the waits of requests for escrow and for places. Their callers are served sooner
+// by another router.
+func (g *Gateway) endWaits() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range g.conns {
+		if state.exchange != nil {
+			state.exchange.endWait()
+		}
+	}
+}
+
 // openConns returns the number of open connections of callers.
 func (g *Gateway) openConns() int {
 	g.mu.Lock()
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -131,9 +131,15 @@
 	reserved    kcrid.Tokens
 	spent       kcrid.Tokens
 	settleCount int
+
+	waiting chan struct{} // receives each request that is to wait until its wait is ended, nil for none
 }
 
-func (b *fakeBudget) reserve(_ kcrid.Team, worstCase kcrid.Tokens, _ kcrclock.Duration, _ <-chan struct{}) kcrbudget.ReserveOutcome {
+func (b *fakeBudget) reserve(_ kcrid.Team, worstCase kcrid.Tokens, _ kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome {
+	if b.waiting != nil {
+		b.waiting <- struct{}{}
+		<-waitEnds
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.outcome == kcrbudget.Granted {
--- a/router/kcrgateway/permit.go
+++ b/router/kcrgateway/permit.go
@@ -36,6 +36,10 @@
 			a.end(kcrplacement.Unreachable, reason)
 			return a, reason
 		}
+		if a.leftMeanwhile() {
+			asked--
+			continue
+		}
 		if a.takePermit() {
 			return a, ""
 		}
@@ -53,7 +57,7 @@
 	if a.conn = g.pool.take(g.clock.Now(), a.choice.ID, a.choice.Addr, maxIdleFraction); a.conn != nil {
 		return ""
 	}
-	conn, err := g.pool.dial(a.choice.ID, a.choice.Addr)
+	conn, err := g.pool.dial(a.choice.ID, a.choice.Addr, max(1, a.x.remaining()).Std())
 	if err != nil {
 		return "dial: " + rootCauseText(err)
 	}
@@ -62,6 +66,17 @@
 	return ""
 }
 
+// leftMeanwhile gives up the choice if its upstream has left, or said that it leaves, while the
+// connection was opened.
+func (a *attempt) leftMeanwhile() bool {
+	if a.conn.reused || a.choice.Stays() {
+		return false
+	}
+	_ = a.conn.Close()
+	a.choice.Withheld(0)
+	return true
+}
+
 // takePermit takes a permit if the upstream has a rate limit. If there is none, it gives up the
 // choice and keeps the connection.
 func (a *attempt) takePermit() (granted bool) {
--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -153,13 +153,15 @@
 // errTooManyOpen is the error of a connection for which no descriptor is left.
 var errTooManyOpen = errors.New("too many connections to upstreams")
 
-// dial opens a connection to an upstream. If too many are open, it closes an idle one before.
-func (p *pool) dial(vm kcrid.VM, addr string) (*upstreamConn, error) {
+// dial opens a connection to an upstream within a time. If too many are open, it closes an idle one before.
+func (p *pool) dial(vm kcrid.VM, addr string, within time.Duration) (*upstreamConn, error) {
 	if p.open.Add(1) > int64(p.maxOpen) && !p.closeOneIdle() {
 		p.open.Add(-1)
 		return nil, errTooManyOpen
 	}
-	conn, err := p.dialer.Dial("tcp", addr)
+	dialer := p.dialer
+	dialer.Timeout = min(dialer.Timeout, within)
+	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		p.open.Add(-1)
 		return nil, err
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kingcuprun.example/kernel/kcradmission"
 	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrcrash"
@@ -40,9 +41,6 @@
 	retryAfterEmptied = 4 * kcrclock.Second        // the operator has to take an order back
 	retryAfterLong    = 30 * kcrclock.Second       // a retry is expected to fail as well
 	defaultTimeout    = 60 * kcrclock.Second       // if the route sets none; a caller can only shorten it
-	// budgetWaitDivisor divides the latency target of the route, and the time until
-	// the deadline, to give the longest wait for escrow.
-	budgetWaitDivisor = 2
 )
 
 // handle processes the request and writes the response.
@@ -66,7 +64,7 @@
 		return false
 	}
 	if x.gateway.stopping.Load() && !x.endsBeforeStop() {
-		return x.refuse(statusUnavailable, "the router stops", retryAfterShort)
+		return x.refuse(statusUnavailable, reasonStops, retryAfterShort)
 	}
 	x.content = kcrid.HashContent(x.head.Target+" "+x.teamName(), x.body...)
 	x.gateway.config.AwaitCrashes()
@@ -87,6 +85,9 @@
 	return true
 }
 
+// reasonStops is the reason of a request that a planned stop leaves no time for.
+const reasonStops = "the router stops"
+
 // findOrigin finds the version that began the stream that the caller takes up, if it does. It
 // returns false if that is not known: a guess may join two versions, even where all upstreams
 // are of one, since those of another may have left.
@@ -250,21 +251,33 @@
 	if !x.metered() {
 		return true
 	}
-	maxWait := min(x.route.LatencyTarget/budgetWaitDivisor, x.remaining()/budgetWaitDivisor)
-	start := x.gateway.clock.Now()
-	outcome := x.gateway.config.Budget.Reserve(x.team.Name, x.usage.maxTokens(), maxWait, x.cancelled)
-	x.budgetWait = x.gateway.clock.Now().Sub(start)
-	switch outcome {
-	case kcrbudget.Granted:
+	budget, start := &x.gateway.config.Budget, x.gateway.clock.Now()
+	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), x.admissionWait(start).Longest(start), x.cancelled)
+	now := x.gateway.clock.Now()
+	x.budgetWait = now.Sub(start)
+	switch {
+	case outcome == kcrbudget.Granted && (x.budgetWait == 0 || x.admissionWait(now).InTime(now)):
 		return true
-	case kcrbudget.BudgetExhausted:
+	case outcome == kcrbudget.Granted:
+		budget.Settle(x.team.Name, x.usage.maxTokens(), 0)
+		return x.refuse(statusUnavailable, "no time is left after the wait for the budget", retryAfterShort)
+	case outcome == kcrbudget.BudgetExhausted:
 		return x.refuse(statusPaymentRequired, "the budget does not cover the request", 0)
+	case x.gateway.stopping.Load():
+		return x.refuse(statusUnavailable, reasonStops, retryAfterShort)
+	case budget.StoreIsLost():
+		return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterOutage)
 	}
-	retryAfter := retryAfterMedium
-	if x.gateway.config.Budget.StoreIsLost() {
-		retryAfter = retryAfterOutage
+	return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterMedium)
+}
+
+// admissionWait returns what bounds the wait of the request for tokens of its team.
+func (x *exchange) admissionWait(now kcrclock.Time) kcradmission.Wait {
+	wait := kcradmission.Wait{Deadline: x.deadline, Target: x.route.LatencyTarget, LinkDelay: x.gateway.link.Delay(now)}
+	if forecast, ok := x.gateway.table.Forecast(now, x.placementRequest()); ok {
+		wait.First = forecast.FirstEvent
 	}
-	return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfter)
+	return wait
 }
 
 // forward makes attempts until there is a response, and returns the tokens to
--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"kingcuprun.example/kernel/kcrbudget"
 	"kingcuprun.example/link/kcrhttp"
 	"kingcuprun.example/router/kcrgateway"
 )
@@ -292,3 +293,38 @@
 	}
 	t.Logf("%d requests answered", answered)
 }
+
+// TestStopEndsWaitsForEscrow checks that requests which wait for escrow as a planned stop begins are
+// told so at once: another router serves them sooner.
+func TestStopEndsWaitsForEscrow(t *testing.T) {
+	t.Parallel()
+	gw := newTestGateway(t, newUpstream(t, "u", respondOK))
+	gw.budget.outcome, gw.budget.waiting = kcrbudget.Pending, make(chan struct{})
+	const callers = 5
+	answers := make(chan string, callers)
+	for range callers {
+		go func() {
+			head, body, err := roundTrip(t, gw, "/resume/1", "")
+			if err == nil && head.Status == 503 && head.Has("Retry-After") {
+				answers <- body
+				return
+			}
+			answers <- fmt.Sprint("no refusal: ", err)
+		}()
+	}
+	for range callers {
+		<-gw.budget.waiting
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	gw.gateway.Stop(ctx, 0)
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("expected the stop to end with the waits, got %s", took)
+	}
+	for range callers {
+		if got := <-answers; got != "the router stops" {
+			t.Errorf("expected a refusal since the router stops, got %q", got)
+		}
+	}
+}
