--- a/kernel/kcrbudget/loan.go
+++ b/kernel/kcrbudget/loan.go
@@ -28,7 +28,7 @@
 	// that the lender last reported.
 	maxUnspentAge = 600 * kcrclock.Millisecond
 	// lendFreeDivisor limits a loan to one part in lendFreeDivisor of the free
-	// tokens, beyond what the request needs: near the end of a budget loans become
+	// tokens, beyond what the requests need: near the end of a budget loans become
 	// small.
 	lendFreeDivisor = 8
 )
@@ -41,6 +41,7 @@
 	Unspent kcrid.Tokens
 	Used    kcrid.Tokens // the other tokens of the plan: granted to others, lent or spent
 	Era     uint64       // era of the log in which Used was counted
+	Reach   kcrid.Tokens // most that may still be lent, including what other holders may return
 }
 
 // Lend lends escrow to another holder: need tokens, and up to want if enough is
@@ -49,6 +50,11 @@
 func (w *Wallet) Lend(now kcrclock.Time, p kcrid.Plan, need, want kcrid.Tokens) Loan {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.lend(now, p, need, want)
+}
+
+// lend is Lend with the lock held.
+func (w *Wallet) lend(now kcrclock.Time, p kcrid.Plan, need, want kcrid.Tokens) Loan {
 	if !w.ready || w.retired {
 		return Loan{Outcome: BudgetUnknown}
 	}
@@ -57,20 +63,21 @@
 	free := w.free(p, ps)
 	a := w.ledger.Account(p)
 	unspent, used := max(0, a.Available()+free), a.Used()-free
+	reach := w.reach(now, p, ps)
 	if w.mustCarry(p, ps) {
-		return Loan{Outcome: Pending, Unspent: unspent}
+		return Loan{Outcome: Pending, Unspent: unspent, Reach: reach}
 	}
 	if !w.rules.Fits(free, need) {
-		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent, Used: used, Era: w.ledger.era}
+		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent, Used: used, Era: w.ledger.era, Reach: reach}
 	}
 	if !w.rules.WithinBounds(ps.maxDrawn(need), w.allowance(now, ps)) {
 		w.raiseBound(now, p, ps, need)
-		return Loan{Outcome: Pending, Unspent: unspent, Used: used, Era: w.ledger.era}
+		return Loan{Outcome: Pending, Unspent: unspent, Used: used, Era: w.ledger.era, Reach: reach}
 	}
 	lent := need + max(0, min(want-need, (free-need)/lendFreeDivisor, w.allowance(now, ps)-ps.maxDrawn(need)))
 	ps.lent += lent
 	ps.expectedSpending += float64(lent)
-	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent, Used: used + lent, Era: w.ledger.era}
+	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent, Used: used + lent, Era: w.ledger.era, Reach: reach - lent}
 }
 
 // AddWaiting adds tokens that a loan waits for, so that the next claim covers all loans
@@ -106,13 +113,20 @@
 	ps := w.planState(p)
 	usable := min(w.free(p, ps), w.allowance(now, ps)+ps.borrowed-ps.spent-ps.lent-ps.reserved)
 	need = max(0, worstCase-usable)
-	return need, need + max(0, ps.nearDemand()-max(0, usable-worstCase))
+	return need, need + max(0, ps.nearDemand(w.loanDelay)-max(0, usable-worstCase))
+}
+
+// LoanSize returns the size of a loan for requests that wait.
+func (w *Wallet) LoanSize(now kcrclock.Time, p kcrid.Plan, demand Demand) (size LoanSize) {
+	size.Least, _ = w.Shortfall(now, p, demand.Least)
+	size.Need, size.Want = w.Shortfall(now, p, demand.Total)
+	return size
 }
 
-// nearDemand returns the expected demand of borrowHorizon, limited to
-// maxBorrowShare of the plan's unspent tokens.
-func (ps *walletPlanState) nearDemand() kcrid.Tokens {
-	demand := kcrid.Tokens(ps.rate * borrowHorizon.Seconds())
+// nearDemand returns the expected demand of borrowHorizon and of the delay of a loan, limited
+// to maxBorrowShare of the plan's unspent tokens.
+func (ps *walletPlanState) nearDemand(delay kcrclock.Duration) kcrid.Tokens {
+	demand := kcrid.Tokens(ps.rate * (borrowHorizon + delay).Seconds())
 	if ps.unspent >= 0 {
 		demand = min(demand, kcrid.Tokens(maxBorrowShare*float64(ps.unspent)))
 	}
@@ -138,7 +152,7 @@
 		if ps.rate == 0 {
 			continue
 		}
-		if float64(w.free(p, ps)) < borrowRefillBelow*float64(ps.nearDemand()) || now.Sub(ps.unspentAt) > maxUnspentAge {
+		if float64(w.free(p, ps)) < borrowRefillBelow*float64(ps.nearDemand(w.loanDelay)) || now.Sub(ps.unspentAt) > maxUnspentAge {
 			plans = append(plans, p)
 		}
 	}
@@ -159,7 +173,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for p, ps := range w.planStates {
-		free, keep := ps.borrowed-ps.spent-ps.lent-ps.reserved, ps.nearDemand()
+		free, keep := ps.borrowed-ps.spent-ps.lent-ps.reserved, ps.nearDemand(w.loanDelay)
 		switch {
 		case all:
 			keep = 0
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -40,10 +40,11 @@
 	planStates   map[kcrid.Plan]*walletPlanState
 	lastRecordAt map[kcrid.Incarnation]kcrclock.Time // time of the newest record of each writer
 
-	era        uint64        // of the log, 0 before its first page and for a log without eras
-	queuedEra  uint64        // newest era of which a record was queued
-	restateSeq uint64        // sequence number of the last restatement, 0 once it is confirmed
-	waitUntil  kcrclock.Time // until then others may restate; see waitsForCarries
+	era        uint64            // of the log, 0 before its first page and for a log without eras
+	queuedEra  uint64            // newest era of which a record was queued
+	restateSeq uint64            // sequence number of the last restatement, 0 once it is confirmed
+	waitUntil  kcrclock.Time     // until then others may restate; see waitsForCarries
+	loanDelay  kcrclock.Duration // of the loans to this wallet; see SetLoanDelay
 }
 
 // walletPlanState is the state of a wallet's grant for one plan. Fingerprint hashes
@@ -68,6 +69,7 @@
 	unspentAt         kcrclock.Time           // when unspent was set
 	rate              float64                 // tokens spent here per second, smoothed
 	ratio             float64                 // spent tokens per reserved token, smoothed
+	unusedShare       float64                 // of the tokens of ended reservations, smoothed
 	rateSince         kcrclock.Time           // start of the rate measurement, 0 before the first request
 	rateUpdatedAt     kcrclock.Time           // last update of the rates
 	expectedSpending  float64                 // spending expected from the reservations since rateUpdatedAt
@@ -351,6 +353,7 @@
 	used = max(0, min(used, worstCase))
 	ps.reserved -= worstCase
 	ps.spent += used
+	ps.unusedShare += ratioWeight * (1 - float64(used)/float64(max(1, worstCase)) - ps.unusedShare)
 	if used > 0 {
 		ps.ratio += ratioWeight * (float64(used)/float64(worstCase) - ps.ratio)
 	}
--- a/router/kcrgateway/bench_test.go
+++ b/router/kcrgateway/bench_test.go
@@ -115,7 +115,7 @@
 	budget := &fakeBudget{outcome: kcrbudget.Granted}
 	g, err := kcrgateway.New(kcrgateway.Config{
 		ListenAddr: "127.0.0.1:0", HeaderNames: headerNames(), Clock: clock, Logger: logger, Metrics: prometheus.NewRegistry(), Rules: rules, Upstreams: table,
-		Crashes: kcrcrash.New(3), PartSuspects: kcrcrash.NewPartSuspects(3), Budget: kcrgateway.TeamBudget{Reserve: budget.reserve, Settle: budget.settle, StoreIsLost: budget.storeIsLost.Load},
+		Crashes: kcrcrash.New(3), PartSuspects: kcrcrash.NewPartSuspects(3), Budget: kcrgateway.TeamBudget{Reserve: budget.reserve, Settle: budget.settle, ReturnAfter: returnSoon, StoreIsLost: budget.storeIsLost.Load},
 		Retries: kcrgateway.RetryLimits{Window: 10000, RetryRatio: 0.2, ExtraRetries: 50, FirstStart: true}, RouterCount: func() int { return 1 }, TakePermit: func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration) { return true, 0 }, AwaitCrashes: func() {}, NoteOrigin: func(string, string) {}, FindOrigin: func(string) (string, bool) { return "", false },
 		IsEmptied: func(kcrid.Zone) bool { return false }, OnlyEmptied: func(kcrid.Service, string) bool { return false },
 		OnLeaving: func(kcrid.Incarnation) {}, OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -45,10 +45,13 @@
 // TeamBudget holds the functions that reserve and settle tokens of a team's budget.
 type TeamBudget struct {
 	// Reserve reserves worstCase tokens, the most that the request can use. It may
-	// wait up to maxWait for escrow, but not after waitEnds is closed.
-	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome
+	// wait up to maxWait for escrow, but not after callerLeft is closed. Requests that
+	// wait get it in the given order.
+	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, order kcrbudget.Order, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome
 	// Settle replaces a reservation of worstCase tokens by the used tokens.
 	Settle func(team kcrid.Team, worstCase, used kcrid.Tokens)
+	// ReturnAfter returns when a request that Reserve refused may come back.
+	ReturnAfter func(team kcrid.Team, worstCase kcrid.Tokens) kcrclock.Duration
 	// StoreIsLost reports whether the store does not respond, so that no escrow can be granted.
 	StoreIsLost func() bool
 }
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -135,7 +135,7 @@
 	waiting chan struct{} // receives each request that is to wait until its wait is ended, nil for none
 }
 
-func (b *fakeBudget) reserve(_ kcrid.Team, worstCase kcrid.Tokens, _ kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome {
+func (b *fakeBudget) reserve(_ kcrid.Team, worstCase kcrid.Tokens, _ kcrbudget.Order, _ kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome {
 	if b.waiting != nil {
 		b.waiting <- struct{}{}
 		<-waitEnds
@@ -148,6 +148,9 @@
 	return b.outcome
 }
 
+// returnSoon is a TeamBudget.ReturnAfter.
+func returnSoon(kcrid.Team, kcrid.Tokens) kcrclock.Duration { return 700 }
+
 func (b *fakeBudget) settle(_ kcrid.Team, worstCase, used kcrid.Tokens) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -214,7 +217,7 @@
 	g, err := kcrgateway.New(kcrgateway.Config{
 		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Metrics: gw.registry, Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
-		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, StoreIsLost: gw.budget.storeIsLost.Load},
+		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, ReturnAfter: returnSoon, StoreIsLost: gw.budget.storeIsLost.Load},
 		Retries:     retries,
 		RouterCount: func() int { return 1 }, TakePermit: func(upstream kcrid.Incarnation, limit kcrplacement.RateLimit) (bool, kcrclock.Duration) {
 			if take := gw.takePermit.Load(); take != nil {
--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -45,7 +45,6 @@
 
 // Timing and sizes of connections.
 const (
-	dialTimeout = 200 * time.Millisecond
 	// defaultKeepAlive applies if the upstream does not state how long it keeps an
 	// idle connection open.
 	defaultKeepAlive = 4 * kcrclock.Second
@@ -61,10 +60,10 @@
 
 // pool keeps idle connections. It is safe for concurrent use.
 type pool struct {
-	dialer  net.Dialer
-	maxOpen int
-	counted func(io.Reader) io.Reader // counts what is read
-	open    atomic.Int64              // connections that are open or being opened
+	dialTimer dialTimer
+	maxOpen   int
+	counted   func(io.Reader) io.Reader // counts what is read
+	open      atomic.Int64              // connections that are open or being opened
 
 	mu   sync.Mutex
 	idle map[string][]*upstreamConn // by VM and address, most recently used last
@@ -76,7 +75,6 @@
 	return &pool{
 		maxOpen: maxOpen,
 		counted: counted,
-		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUpstreamOptions},
 		idle:    map[string][]*upstreamConn{},
 	}
 }
@@ -159,9 +157,13 @@
 		p.open.Add(-1)
 		return nil, errTooManyOpen
 	}
-	dialer := p.dialer
-	dialer.Timeout = min(dialer.Timeout, within)
+	usual := p.dialTimer.timeout()
+	dialer := net.Dialer{Timeout: min(usual, within), KeepAlive: -1, Control: setUpstreamOptions}
+	start := time.Now()
 	conn, err := dialer.Dial("tcp", addr)
+	if err == nil || within >= usual { // a request with little time left shows nothing
+		p.dialTimer.record(addr, time.Since(start), err)
+	}
 	if err != nil {
 		p.open.Add(-1)
 		return nil, err
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -252,7 +252,8 @@
 		return true
 	}
 	budget, start := &x.gateway.config.Budget, x.gateway.clock.Now()
-	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), x.admissionWait(start).Longest(start), x.cancelled)
+	wait := x.admissionWait(start)
+	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), x.order(), wait.Longest(start), x.cancelled)
 	now := x.gateway.clock.Now()
 	x.budgetWait = now.Sub(start)
 	switch {
@@ -268,7 +269,8 @@
 	case budget.StoreIsLost():
 		return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterOutage)
 	}
-	return x.refuse(statusUnavailable, "budget "+outcome.String(), retryAfterMedium)
+	x.respondAt(statusUnavailable, "budget "+outcome.String(), budget.ReturnAfter(x.team.Name, x.usage.maxTokens()))
+	return false
 }
 
 // admissionWait returns what bounds the wait of the request for tokens of its team.
@@ -280,6 +282,15 @@
 	return wait
 }
 
+// order returns the place of the request among those of its team that wait for escrow.
+func (x *exchange) order() kcrbudget.Order {
+	order := kcrbudget.Order{RouteRank: x.route.Priority, Deadline: x.deadline}
+	if x.team.Priority >= 0 {
+		order.TeamRank = x.team.Priority
+	}
+	return order
+}
+
 // forward makes attempts until there is a response, and returns the tokens to
 // charge.
 func (x *exchange) forward() kcrid.Tokens {
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -61,6 +61,7 @@
 	startedAt kcrclock.Time     // on the clock of Config.BootClock
 	permits   *kcrpermit.Issuer // for upstreams with a rate limit
 	origins   *kcrorigin.Register
+	answers   *answers // to loans and returns
 	collector *collectorDesk
 	pool      *kcrlink.Pool // to other hosts
 	server    *kcrlink.Server
@@ -103,7 +104,7 @@
 // New starts a host. It opens no home until a router asks for a loan.
 func New(c Config) (h *Host, err error) {
 	defer kcrerror.Annotate(&err, "home")
-	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), collector: newCollectorDesk(), pool: kcrlink.NewPool(), homes: map[kcrid.Bucket]*bucketHome{}}
+	h = &Host{config: c, startedAt: c.BootClock.Now(), permits: kcrpermit.New(), origins: kcrorigin.New(), answers: newAnswers(), collector: newCollectorDesk(), pool: kcrlink.NewPool(), homes: map[kcrid.Bucket]*bucketHome{}}
 	if h.server, err = kcrlink.ListenWithin(c.ListenAddr, kcrmemory.New(c.Machine.Home()), h.noteLostSession, h.handleRequest); err != nil {
 		return nil, err
 	}
@@ -199,8 +200,18 @@
 	return home
 }
 
-// handleLend answers a router that borrows or returns escrow.
+// handleLend answers a router that borrows or returns escrow, or that lost the answer to such a
+// call.
 func (h *Host) handleLend(req *kcrwire.Lend) *kcrwire.Reply {
+	reply := h.answers.once(h.config.Clock.Now(), req.GetId(), req.GetAgain(), func() *kcrwire.Reply { return h.lend(req) })
+	if reply == nil {
+		return &kcrwire.Reply{Kind: &kcrwire.Reply_Lent{Lent: &kcrwire.Lent{Code: kcrbudget.BudgetUnknown.String()}}}
+	}
+	return reply
+}
+
+// lend lends or takes back escrow.
+func (h *Host) lend(req *kcrwire.Lend) *kcrwire.Reply {
 	if got := int(req.GetBuckets()); got != h.config.BucketCount {
 		// An error would make the router claim escrow itself. It assigns plans to other
 		// buckets, so it would do that on a second ledger for the plan.
@@ -223,24 +234,29 @@
 		home.wallet.AddReturned(plan, back)
 		lent.Code = kcrbudget.Granted.String()
 	} else {
-		loan := h.lendOrWait(home, plan, kcrid.Tokens(req.GetNeed()), kcrid.Tokens(req.GetTokens()))
+		size := kcrbudget.LoanSize{Least: kcrid.Tokens(req.GetLeast()), Need: kcrid.Tokens(req.GetNeed()), Want: kcrid.Tokens(req.GetTokens())}
+		if size.Least <= 0 || size.Least > size.Need {
+			size.Least = size.Need
+		}
+		loan := h.lendOrWait(home, plan, size)
 		lent.Tokens, lent.Code, lent.Left = int64(loan.Tokens), loan.Outcome.String(), int64(loan.Unspent)
-		lent.Used, lent.Era = int64(loan.Used), loan.Era
+		lent.Used, lent.Era, lent.Reach = int64(loan.Used), loan.Era, int64(loan.Reach)
 	}
 	return &kcrwire.Reply{Kind: &kcrwire.Reply_Lent{Lent: lent}}
 }
 
-// lendOrWait lends between need and want tokens, or none. If the wallet lacks escrow
-// that may still arrive from the ledger, it waits for it up to maxLendWait.
-func (h *Host) lendOrWait(home *bucketHome, plan kcrid.Plan, need, want kcrid.Tokens) kcrbudget.Loan {
+// lendOrWait lends what a router needs. If the wallet lacks escrow that may still arrive from
+// the ledger, it waits for it up to maxLendWait. Then the router gets its share of what there
+// is, or none if that serves no request.
+func (h *Host) lendOrWait(home *bucketHome, plan kcrid.Plan, size kcrbudget.LoanSize) kcrbudget.Loan {
 	start := h.config.Clock.Now()
-	home.wallet.AddWaiting(plan, need)
-	defer home.wallet.AddWaiting(plan, -need)
+	home.wallet.AddWaiting(plan, size.Need)
+	defer home.wallet.AddWaiting(plan, -size.Need)
 	for {
 		changed := home.changed.Wait()
 		now := h.config.Clock.Now()
-		loan := home.wallet.Lend(now, plan, need, want)
 		remaining := maxLendWait - now.Sub(start)
+		loan := home.wallet.LendWaiting(now, plan, size, remaining <= 0)
 		if loan.Outcome == kcrbudget.Granted || loan.Outcome == kcrbudget.BudgetExhausted || remaining <= 0 {
 			return loan
 		}
--- a/router/kcrhome/home_test.go
+++ b/router/kcrhome/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -95,6 +96,36 @@
 	}
 }
 
+// TestLostAnswerIsToldAgain guards against tokens that are lost, or lent or taken back twice,
+// when the answer to a call is lost.
+func TestLostAnswerIsToldAgain(t *testing.T) {
+	t.Parallel()
+	m := &memoryLog{streams: map[kcrid.Stream][][]byte{}}
+	h, lend := newHost(t, m)
+	defer h.Stop(t.Context())
+	lent := &kcrwire.Lent{}
+	for i := 0; lent.GetTokens() == 0 && i < 100; i++ {
+		lent = lend(&kcrwire.Lend{Plan: plan, Need: 600, Tokens: 600, Version: 3, Prepaid: 1000, Id: fmt.Sprint("loan-", i)})
+		if again := lend(&kcrwire.Lend{Plan: plan, Need: 600, Tokens: 600, Id: fmt.Sprint("loan-", i), Again: true}); again.GetTokens() != lent.GetTokens() {
+			t.Fatalf("expected %d tokens again, got %d", lent.GetTokens(), again.GetTokens())
+		}
+	}
+	if other := lend(&kcrwire.Lend{Plan: plan, Need: 100, Tokens: 100, Id: "unknown", Again: true}); other.GetTokens() != 0 || other.GetCode() != "unknowable" {
+		t.Fatalf("expected nothing for an unknown loan, got %v", other)
+	}
+	for range 2 {
+		if back := lend(&kcrwire.Lend{Plan: plan, Back: 200, Id: "return"}); back.GetCode() != "granted" {
+			t.Fatalf("expected the return to be granted, got %v", back)
+		}
+	}
+	if lent.GetLeft() != 400 {
+		t.Fatalf("expected 400 tokens left, got %v", lent)
+	}
+	if more := lend(&kcrwire.Lend{Plan: plan, Need: 601, Tokens: 601}); more.GetTokens() != 0 {
+		t.Fatalf("expected 600 tokens at the home, got a loan of %d", more.GetTokens())
+	}
+}
+
 // TestLends checks that a home lends what a router needs once the ledger grants it,
 // reports when the budget does not cover more, accepts returned tokens, and writes a
 // snapshot when the host stops.
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -23,19 +23,21 @@
 type bucket struct {
 	number      kcrid.Bucket
 	wallet      *kcrbudget.Wallet
+	queue       *kcrbudget.Queue // requests that wait for escrow
+	loans       *kcrbudget.LoanDesk
 	newFollower func() *kcrdaemon.Follower
 
 	mu              sync.Mutex
 	follower        *kcrdaemon.Follower // nil while homes answer
-	loans           map[kcrid.Plan]bool // plans with a loan in progress
 	refusals        map[kcrid.Plan]refusal
 	prefetchAfter   map[kcrid.Plan]kcrclock.Time // nothing is prefetched before this time
+	borrowAfter     map[kcrid.Plan]kcrclock.Time // nothing is borrowed before this time
 	lastLoanAt      kcrclock.Time                // start of the last loan
 	unansweredSince kcrclock.Time                // first loan that no home answered, 0 after an answer
 	unansweredAt    kcrclock.Time                // last loan that no home answered
 }
 
-// refusal records that the budget of a plan did not cover an amount of tokens.
+// refusal records that the budget of a plan does not cover an amount of tokens.
 type refusal struct {
 	need kcrid.Tokens
 	at   kcrclock.Time
@@ -50,10 +52,17 @@
 	// borrowInterval is how often a request that waits for escrow tries to borrow again
 	// while nothing changes.
 	borrowInterval = 20 * time.Millisecond
-	// homeAnswerTimeout is how long a home has to answer before the next is asked.
-	homeAnswerTimeout = 250 * time.Millisecond
+	// minAnswerTimeout is how long a home has at least to answer before the next is asked.
+	minAnswerTimeout = 250 * kcrclock.Millisecond
 	// homeCallTimeout is how long the answer of a home still counts.
 	homeCallTimeout = time.Second
+	// askAgainPause is the time before a home is asked for the answer to a call that failed,
+	// maxAsksAgain how often that is done.
+	askAgainPause = 200 * time.Millisecond
+	maxAsksAgain  = 4
+	// exhaustedPause is the time between two loans of a plan of which no home can lend enough
+	// for any request.
+	exhaustedPause = 50 * kcrclock.Millisecond
 	// refusalLifetime is how long a refusal is applied to further requests without
 	// asking a home again.
 	refusalLifetime = 100 * kcrclock.Millisecond
@@ -78,25 +87,40 @@
 
 // Reserve takes the worst case of a request, in tokens, out of a team's budget. If
 // escrow is missing but may still arrive, it waits for it up to maxWait, or until
-// callerLeft is closed.
-func (n *Node) Reserve(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome {
+// callerLeft is closed. Requests that wait get theirs in the given order.
+func (n *Node) Reserve(team kcrid.Team, worstCase kcrid.Tokens, order kcrbudget.Order, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome {
 	b, plan := n.bucketOf(team), kcrid.Plan(team)
+	waiting := b.queue.Join(plan, worstCase, order)
+	outcome := n.awaitEscrow(b, plan, worstCase, waiting, maxWait, callerLeft)
+	if b.queue.Leave(plan, waiting) {
+		return kcrbudget.Granted
+	}
+	if outcome != kcrbudget.BudgetExhausted {
+		n.escrowPending.Inc()
+	}
+	return outcome
+}
+
+// awaitEscrow grants escrow to the requests of a plan that wait, and borrows, until the given
+// one has its tokens or cannot get them in time.
+func (n *Node) awaitEscrow(b *bucket, plan kcrid.Plan, worstCase kcrid.Tokens, waiting *kcrbudget.Waiting, maxWait kcrclock.Duration, callerLeft <-chan struct{}) (outcome kcrbudget.ReserveOutcome) {
 	start := n.clock.Now()
 	var timer *time.Timer
 	for {
 		changed := n.escrowChanged.Wait()
 		now := n.clock.Now()
-		outcome := b.wallet.Reserve(now, plan, worstCase)
+		outcome = n.grantWaiting(now, b, plan)
+		granted, waits := b.queue.State(waiting)
 		remaining := maxWait - now.Sub(start)
 		switch {
-		case outcome == kcrbudget.Granted || outcome == kcrbudget.BudgetExhausted:
-			return outcome
+		case granted:
+			return kcrbudget.Granted
 		case b.refusedRecently(now, plan, worstCase):
 			return kcrbudget.BudgetExhausted
-		case remaining <= 0:
+		case remaining <= 0 || !waits:
 			return outcome
 		}
-		n.borrow(b, plan, worstCase)
+		n.borrow(b, plan)
 		if timer == nil {
 			timer = time.NewTimer(remaining.Std())
 			defer timer.Stop()
@@ -112,6 +136,28 @@
 	}
 }
 
+// grantWaiting grants escrow to the requests of a plan that wait, in order, and returns the
+// outcome of the last one that got none.
+func (n *Node) grantWaiting(now kcrclock.Time, b *bucket, plan kcrid.Plan) (outcome kcrbudget.ReserveOutcome) {
+	outcome = kcrbudget.Pending
+	granted := b.queue.Grant(now, plan, func(tokens kcrid.Tokens) bool {
+		o := b.wallet.Reserve(now, plan, tokens)
+		if o != kcrbudget.Granted {
+			outcome = o
+		}
+		return o == kcrbudget.Granted
+	})
+	if granted > 1 {
+		n.escrowChanged.Broadcast()
+	}
+	return outcome
+}
+
+// ReturnAfter returns when a request that waited for escrow in vain may come back.
+func (n *Node) ReturnAfter(team kcrid.Team, worstCase kcrid.Tokens) kcrclock.Duration {
+	return n.bucketOf(team).queue.ReturnAfter(n.clock.Now(), kcrid.Plan(team), worstCase)
+}
+
 // Settle ends a reservation of worstCase tokens, of which used were spent.
 func (n *Node) Settle(team kcrid.Team, worstCase, used kcrid.Tokens) {
 	n.bucketOf(team).wallet.Settle(kcrid.Plan(team), worstCase, used)
@@ -135,7 +181,7 @@
 // only while there is no home: otherwise the homes tell the router all that it has
 // to know about budgets.
 func (n *Node) newBucket(c Config, i int) *bucket {
-	b := &bucket{number: kcrid.Bucket(i), loans: map[kcrid.Plan]bool{}, refusals: map[kcrid.Plan]refusal{}, prefetchAfter: map[kcrid.Plan]kcrclock.Time{}}
+	b := &bucket{number: kcrid.Bucket(i), queue: kcrbudget.NewQueue(), loans: kcrbudget.NewLoanDesk(), refusals: map[kcrid.Plan]refusal{}, prefetchAfter: map[kcrid.Plan]kcrclock.Time{}, borrowAfter: map[kcrid.Plan]kcrclock.Time{}}
 	w := kcrbudget.NewWallet(kcrbudget.WalletConfig{
 		Self: c.Self, Borrower: true, BootClock: c.BootClock, LedgerRules: kcrbudget.DefaultLedgerRules(),
 		Policy: kcrbudget.NoLenderPolicy(func() bool { return n.lacksHome(b) }, n.escrowSharers, c.EscrowPolicy), Rules: kcrbudget.DefaultWalletRules(),
@@ -221,40 +267,40 @@
 	return now >= b.prefetchAfter[plan]
 }
 
-// beginLoan marks a loan as in progress. It returns false if one for the plan is in
-// progress already.
-func (b *bucket) beginLoan(now kcrclock.Time, plan kcrid.Plan) bool {
+// mayBorrow reports whether a home may lend something for a plan.
+func (b *bucket) mayBorrow(now kcrclock.Time, plan kcrid.Plan) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.loans[plan] {
-		return false
-	}
-	b.loans[plan] = true
-	b.lastLoanAt = now
-	return true
+	return now >= b.borrowAfter[plan]
 }
 
-// endLoan marks the loan of a plan as ended.
-func (b *bucket) endLoan(plan kcrid.Plan) {
+// recordLoanStart records when the last loan began.
+func (b *bucket) recordLoanStart(now kcrclock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.loans, plan)
+	b.lastLoanAt = now
 }
 
-// recordLoan records the answer of a home to a request that needs need tokens.
-// pausePrefetch is set if the home lent little.
-func (b *bucket) recordLoan(now kcrclock.Time, plan kcrid.Plan, need kcrid.Tokens, loan kcrbudget.Loan, pausePrefetch bool) {
+// recordLoan records the answer of a home to a loan. It refuses requests that what this router
+// holds, what its requests are expected to leave, and what homes may still lend do not cover.
+// Nothing is prefetched for a time if the home lent little of the wanted tokens.
+func (b *bucket) recordLoan(now kcrclock.Time, plan kcrid.Plan, loan kcrbudget.Loan, wanted kcrid.Tokens) {
+	inFlight := max(0, b.loans.InFlight(plan)-wanted) // of other loans
+	covered := max(0, b.wallet.Holding(plan).Free) + b.wallet.Returning(plan) + inFlight + loan.Tokens + loan.Reach
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.unansweredSince = 0
-	if pausePrefetch {
+	if 2*loan.Tokens < wanted {
 		b.prefetchAfter[plan] = now.Add(prefetchPause)
 	}
-	if loan.Outcome == kcrbudget.BudgetExhausted {
-		b.refusals[plan] = refusal{need: need, at: now}
+	if loan.Outcome != kcrbudget.Granted && loan.Outcome != kcrbudget.Pending && loan.Outcome != kcrbudget.BudgetExhausted {
+		delete(b.refusals, plan)
 		return
 	}
-	delete(b.refusals, plan)
+	if loan.Outcome == kcrbudget.BudgetExhausted {
+		b.borrowAfter[plan] = now.Add(exhaustedPause)
+	}
+	b.refusals[plan] = refusal{need: covered + 1, at: now}
 }
 
 // recordExhausted records that the budget on the ledger does not cover a request.
--- a/router/kcrnode/homes.go
+++ b/router/kcrnode/homes.go
@@ -30,6 +30,7 @@
 	failingSince kcrclock.Time             // when failures reached maxFailures
 	probedAt     kcrclock.Time             // last call while no home answers
 	probes       int                       // calls while no home answers
+	delay        kcrclock.Duration         // until an answer arrives, smoothed
 }
 
 // homeStatus is what this router knows about one process that runs homes.
@@ -61,6 +62,12 @@
 	// announcing that it leaves: the upstream may have crashed while the home
 	// process still runs.
 	missingGrace = 30 * kcrclock.Second
+	// delayWeight is the weight of the newest answer in the smoothed delay. A home has
+	// delayFactor times that delay to answer, at most maxAnswerTimeout: a router whose own
+	// link is slow finds all homes slow, and would gain nothing by asking others.
+	delayWeight      = 0.25
+	delayFactor      = 2
+	maxAnswerTimeout = 800 * kcrclock.Millisecond
 	// maxCandidates is how many homes are asked for one loan or return.
 	maxCandidates = 3
 )
@@ -170,6 +177,25 @@
 	return d.updated && len(d.homes) == 0
 }
 
+// recordDelay records how long an answer took, also one that came late.
+func (d *homeDirectory) recordDelay(took kcrclock.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay += kcrclock.Duration(delayWeight * float64(took-d.delay))
+}
+
+// answerDelay returns how long answers take.
+func (d *homeDirectory) answerDelay() kcrclock.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delay
+}
+
+// answerTimeout returns how long a home has to answer before the next is asked.
+func (d *homeDirectory) answerTimeout() kcrclock.Duration {
+	return max(minAnswerTimeout, min(delayFactor*d.answerDelay(), maxAnswerTimeout))
+}
+
 // recordSlow records that the answer of a home is overdue.
 func (d *homeDirectory) recordSlow(now kcrclock.Time, addr string) {
 	d.mu.Lock()
--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,83 +15,119 @@
 )
 
 // This file defines the calls that move escrow between this router and the homes:
-// loans for waiting requests, loans ahead of requests (prefetching), and returns of
-// escrow that is not needed. A loan has two amounts: need is what a waiting request
-// lacks, want is need plus the expected demand; worstCase is the most that the request
-// may use. Invariant: a plan has at most one loan in progress, apart from overdue
-// calls, whose answers still count. Node.transfers counts each loan and return from before
+// loans for all requests of a plan that wait, loans ahead of requests (prefetching), and
+// returns of escrow that is not needed. Package kcrbudget sizes loans and says how many are in
+// flight side by side. Invariant: overdue calls for loans still count. Node.transfers counts each loan and return from before
 // its tokens leave one wallet until they are in the other, or lost.
 
-// borrow starts a loan in the background, unless one for the plan is in progress or
-// borrowing has ended. It asks the homes of the bucket for the tokens that a request of
-// worstCase tokens lacks, or for those of the expected demand if worstCase is 0. If no
-// home answers, it claims escrow from the ledger for this router.
-func (n *Node) borrow(b *bucket, plan kcrid.Plan, worstCase kcrid.Tokens) {
+// borrow starts a loan in the background, unless loans in flight cover all that wait or
+// borrowing has ended. It asks the homes of the bucket for the tokens that the waiting
+// requests of the plan lack, and for those of the expected demand. If no home answers, it
+// claims escrow from the ledger for this router.
+func (n *Node) borrow(b *bucket, plan kcrid.Plan) {
 	n.transfers.Add(1) // before borrowingEnded is read, so that Stop waits for the loan
-	if n.borrowingEnded.Load() || !b.beginLoan(n.clock.Now(), plan) {
+	now := n.clock.Now()
+	if n.borrowingEnded.Load() || !b.mayBorrow(now, plan) {
+		n.transfers.Done()
+		return
+	}
+	b.wallet.SetLoanDelay(n.homes.answerDelay())
+	demand := b.queue.Demand(plan)
+	size, ok := b.loans.Begin(now, plan, b.wallet.LoanSize(now, plan, demand))
+	if !ok {
 		n.transfers.Done()
 		return
 	}
 	n.loans.Inc()
+	b.recordLoanStart(now)
 	n.wg.Go(func() {
 		defer n.transfers.Done()
-		defer b.endLoan(plan)
-		now := n.clock.Now()
-		need, want := b.wallet.Shortfall(now, plan, worstCase)
+		defer b.loans.End(plan, size)
 		for _, addr := range n.homes.candidates(now, b.number) {
-			if n.borrowFrom(addr, b, plan, need, want, worstCase) || n.borrowingEnded.Load() {
+			if n.borrowFrom(addr, b, plan, size, demand) || n.borrowingEnded.Load() {
 				return
 			}
 		}
 		b.recordNoAnswer(now)
 		b.follow()
 		n.publishBucketLimits(b)
-		if worstCase > 0 {
-			n.claim(b, plan, worstCase)
+		if demand.Count > 0 {
+			n.claim(b, plan, demand)
 		}
 	})
 }
 
-// claim asks the ledger for the tokens that a request lacks. Requests that wait are woken
-// when the ledger answers.
-func (n *Node) claim(b *bucket, plan kcrid.Plan, worstCase kcrid.Tokens) {
+// claim asks the ledger for the tokens that waiting requests lack, or if it does not cover
+// them all, for those of the smallest. Requests that wait are woken when the ledger answers.
+func (n *Node) claim(b *bucket, plan kcrid.Plan, demand kcrbudget.Demand) {
 	now := n.clock.Now()
-	outcome := b.wallet.Claim(now, plan, worstCase)
+	outcome := b.wallet.Claim(now, plan, demand.Total)
+	if outcome == kcrbudget.BudgetExhausted {
+		outcome = b.wallet.Claim(now, plan, demand.Least)
+	}
 	b.wakeFollower()
 	if outcome == kcrbudget.BudgetExhausted {
-		b.recordExhausted(now, plan, worstCase)
+		b.recordExhausted(now, plan, demand.Least)
 		n.escrowChanged.Broadcast()
 	}
 }
 
-// borrowFrom asks one home and reports whether it answered within
-// homeAnswerTimeout. An answer that comes later still counts: a router that is slow
+// borrowFrom asks one home and reports whether it answered in time. An answer that comes later still counts: a router that is slow
 // itself must not treat its homes as dead, nor lose the tokens that they lend.
-func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worstCase kcrid.Tokens) bool {
+func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, size kcrbudget.LoanSize, demand kcrbudget.Demand) bool {
 	answered := make(chan bool, 1)
 	n.transfers.Add(1)
 	n.wg.Go(func() {
 		defer n.transfers.Done()
-		loan, err := n.callHome(addr, n.loanRequest(plan, need, want))
+		start := n.clock.Now()
+		req := n.loanRequest(plan, size)
+		loan, err := n.callHome(addr, req)
 		if err == nil && loan.Outcome == kcrbudget.NotHolder {
 			err = errHomeStops
 		}
+		answered <- err == nil
 		if err != nil {
-			n.recordLoanFailure(addr, plan, need, err)
-		} else {
-			n.receiveLoan(addr, b, plan, loan, need, want, worstCase)
+			n.recordLoanFailure(addr, plan, size.Need, err)
+			loan, err = n.askAgain(addr, req, err)
+		}
+		if err == nil {
+			n.homes.recordDelay(n.clock.Now().Sub(start))
+			n.receiveLoan(addr, b, plan, loan, size, demand)
 		}
-		answered <- err == nil
 	})
 	select {
 	case ok := <-answered:
 		return ok
-	case <-time.After(homeAnswerTimeout):
+	case <-time.After(n.homes.answerTimeout().Std()):
 		n.homes.recordSlow(n.clock.Now(), addr)
 		return false
 	}
 }
 
+// askAgain asks a home for the answer to a call that may have arrived there, since its tokens
+// would be lost otherwise. It returns err if it gets none.
+func (n *Node) askAgain(addr string, req *kcrwire.Lend, err error) (kcrbudget.Loan, error) {
+	if errors.Is(err, kcrlink.ErrNotSent) || errors.Is(err, errHomeStops) {
+		return kcrbudget.Loan{}, err
+	}
+	req.Again = true
+	for range maxAsksAgain {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			break // the home has ended
+		}
+		time.Sleep(askAgainPause)
+		var loan kcrbudget.Loan
+		if loan, err = n.callHome(addr, req); err == nil {
+			if loan.Outcome == kcrbudget.BudgetUnknown || loan.Outcome == kcrbudget.NotHolder {
+				return kcrbudget.Loan{}, errAnswerLost
+			}
+			n.logger.Info("answer of a home recovered", "plan", req.GetPlan(), "home", addr, "tokens", int64(loan.Tokens), "back", req.GetBack(), "code", loan.Outcome.String())
+			return loan, nil
+		}
+	}
+	return kcrbudget.Loan{}, err
+}
+
 // errHomeStops is the error of a call to a home that takes part in no loans any more.
 var errHomeStops = errors.New("the home stops")
 
@@ -105,12 +142,12 @@
 }
 
 // receiveLoan adds a loan to the wallet and wakes the requests that wait for escrow.
-func (n *Node) receiveLoan(addr string, b *bucket, plan kcrid.Plan, loan kcrbudget.Loan, need, want, worstCase kcrid.Tokens) {
+func (n *Node) receiveLoan(addr string, b *bucket, plan kcrid.Plan, loan kcrbudget.Loan, size kcrbudget.LoanSize, demand kcrbudget.Demand) {
 	now := n.clock.Now()
 	if n.homes.recordAnswer(addr) {
 		n.logger.Info("homes answer again", "home", addr)
 	}
-	b.recordLoan(now, plan, worstCase, loan, 2*loan.Tokens < want)
+	b.recordLoan(now, plan, loan, size.Want)
 	if loan.Tokens > 0 {
 		b.wallet.AddBorrowed(plan, loan.Tokens)
 	}
@@ -120,12 +157,20 @@
 	b.wallet.SetUnspent(now, plan, loan.Unspent)
 	b.wallet.NoteUsed(plan, loan.Era, loan.Used)
 	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
-		"need", int64(need), "wanted", int64(want), "left", int64(loan.Unspent), "code", loan.Outcome.String())
+		"need", int64(size.Need), "least", int64(size.Least), "waiting", demand.Count, "wanted", int64(size.Want), "left", int64(loan.Unspent), "code", loan.Outcome.String())
 	if loan.Tokens > 0 || loan.Outcome == kcrbudget.BudgetExhausted {
 		n.escrowChanged.Broadcast()
 	}
 }
 
+// errAnswerLost is the error of a loan or a return whose answer was lost at the home as well.
+var errAnswerLost = errors.New("the home doesn't remember the call")
+
+// nextTransfer returns an id for a loan or a return.
+func (n *Node) nextTransfer() string {
+	return string(n.self) + "/" + strconv.FormatUint(n.transferCount.Add(1), 10)
+}
+
 // callHome sends one request to a home and returns the loan in the reply. The home
 // checks that it uses the same number of buckets.
 func (n *Node) callHome(addr string, req *kcrwire.Lend) (loan kcrbudget.Loan, err error) {
@@ -139,7 +184,7 @@
 	lent := reply.GetLent()
 	return kcrbudget.Loan{
 		Tokens: kcrid.Tokens(lent.GetTokens()), Outcome: kcrbudget.ParseReserveOutcome(lent.GetCode()), Unspent: kcrid.Tokens(lent.GetLeft()),
-		Used: kcrid.Tokens(lent.GetUsed()), Era: lent.GetEra(),
+		Used: kcrid.Tokens(lent.GetUsed()), Era: lent.GetEra(), Reach: kcrid.Tokens(lent.GetReach()),
 	}, nil
 }
 
@@ -149,7 +194,7 @@
 	now := n.clock.Now()
 	for _, plan := range b.wallet.PlansToBorrow(now) {
 		if b.mayPrefetch(now, plan) {
-			n.borrow(b, plan, 0)
+			n.borrow(b, plan)
 		}
 	}
 	n.returnExcess(b)
@@ -183,7 +228,7 @@
 	}
 	for i := range r.Teams {
 		if t := &r.Teams[i]; t.Prepaid >= 0 && n.bucketOf(t.Name) == b {
-			n.borrow(b, kcrid.Plan(t.Name), 0)
+			n.borrow(b, kcrid.Plan(t.Name))
 			return
 		}
 	}
@@ -194,7 +239,11 @@
 // wallet keeps the tokens.
 func (n *Node) returnEscrow(b *bucket, excess kcrbudget.Amount) {
 	for _, addr := range n.homes.candidates(n.clock.Now(), b.number) {
-		taken, err := n.callHome(addr, &kcrwire.Lend{Plan: string(excess.Plan), Back: int64(excess.Tokens)})
+		req := &kcrwire.Lend{Plan: string(excess.Plan), Back: int64(excess.Tokens), Id: n.nextTransfer()}
+		taken, err := n.callHome(addr, req)
+		if err != nil && !errors.Is(err, kcrlink.ErrNotSent) {
+			taken, err = n.askAgain(addr, req, err)
+		}
 		if err == nil && taken.Outcome != kcrbudget.Granted {
 			n.logger.Info("return of escrow refused", "plan", string(excess.Plan), "holder", addr, "code", taken.Outcome.String())
 			continue
@@ -211,11 +260,11 @@
 	b.wallet.AddBorrowed(excess.Plan, excess.Tokens)
 }
 
-// loanRequest returns the request for a loan of need to want tokens. It includes
+// loanRequest returns the request for a loan. It includes
 // the prepaid amount of the plan, which the home writes to the ledger, and the used tokens
 // that a home has told.
-func (n *Node) loanRequest(plan kcrid.Plan, need, want kcrid.Tokens) *kcrwire.Lend {
-	req := &kcrwire.Lend{Plan: string(plan), Need: int64(need), Tokens: int64(want)}
+func (n *Node) loanRequest(plan kcrid.Plan, size kcrbudget.LoanSize) *kcrwire.Lend {
+	req := &kcrwire.Lend{Plan: string(plan), Least: int64(size.Least), Need: int64(size.Need), Tokens: int64(size.Want), Id: n.nextTransfer()}
 	era, used := n.bucketOf(kcrid.Team(plan)).wallet.NotedUsed(plan)
 	req.Used, req.Era = int64(used), era
 	if r := n.rules.Rules(); r != nil {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -101,9 +101,11 @@
 	loads             *loadDesk
 	zone              kcrid.Zone
 	loans             prometheus.Counter // loans started
+	escrowPending     prometheus.Counter // requests that waited for escrow in vain
 	lostSessions      prometheus.Counter
 	lossLines         kcrdaemon.LineLimit
 	transfers         kcrdaemon.Activity // loans and returns of escrow in progress
+	transferCount     atomic.Uint64      // loans and returns so far
 	borrowingEnded    atomic.Bool        // no loan starts any more, and all borrowed escrow is returned
 	coldBounds        ColdBounds
 	pool              *kcrlink.Pool
@@ -166,6 +168,7 @@
 		loads:         newLoadDesk(),
 		zone:          c.Zone,
 		loans:         prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_loans_total", Help: "Loans that were started, whether a home answered or not."}),
+		escrowPending: prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_escrow_pending_total", Help: "Requests that waited for escrow in vain though the budget may cover them."}),
 		lostSessions:  prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_sessions_lost_total", Help: "Sessions of other processes that lost their place or got none."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
@@ -187,7 +190,7 @@
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
 		LinkBytesPerSecond: c.LinkBytes,
-		Budget:             kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
+		Budget:             kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, ReturnAfter: n.ReturnAfter, StoreIsLost: n.fleet.StoreIsLost},
 	})
 	if err != nil {
 		return nil, err
@@ -477,7 +480,7 @@
 	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "kcr_log_dropped_total", Help: "Lines of the log that were left out.",
 	}, func() float64 { return float64(c.DroppedLogLines()) }))
-	c.Metrics.MustRegister(n.loans, n.lostSessions, n.loads.calls, &paceCollector{paces: n.table.Paces})
+	c.Metrics.MustRegister(n.loans, n.escrowPending, n.lostSessions, n.loads.calls, &paceCollector{paces: n.table.Paces})
 	gauge("kcr_loads_age_seconds", "Mean age of what is known of the load of other routers.", func() float64 {
 		age, _ := n.loads.state(n.clock.Now())
 		return age.Seconds()
@@ -486,6 +489,18 @@
 		_, known := n.loads.state(n.clock.Now())
 		return float64(known)
 	})
+	gauge("kcr_escrow_waiting_requests", "Requests that wait for escrow.", func() (sum float64) {
+		for _, b := range n.buckets {
+			sum += float64(b.queue.Len())
+		}
+		return sum
+	})
+	gauge("kcr_loans_in_flight", "Loans in flight.", func() (sum float64) {
+		for _, b := range n.buckets {
+			sum += float64(b.loans.Count())
+		}
+		return sum
+	})
 	gauge("kcr_active_requests", "Requests under way.", func() float64 { return float64(n.gateway.ActiveRequests()) })
 	gauge("kcr_fleet_age_seconds", "Time since the store answered with entries.", func() float64 { return n.fleet.SinceLastContact(n.clock.Now()).Seconds() })
 	gauge("kcr_emptied_zones", "Zones that the operator has emptied.", func() float64 { return float64(n.zones.orders.Count()) })
