--- a/kernel/kcrplacement/place.go
+++ b/kernel/kcrplacement/place.go
@@ -49,6 +49,24 @@
 	return next, ok
 }
 
+// FirstEvent returns how long the best upstream of a service is expected to take for the first
+// event of a request, with the wait for a place. It returns false if there is none.
+func (t *Table) FirstEvent(now kcrclock.Time, req Request) (expected kcrclock.Duration, ok bool) {
+	s := t.getOrCreateService(req.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		p, suits := s.place(now, u, &req)
+		if !suits || contains(req.Excluded, u.ID) {
+			continue
+		}
+		if d := p.At.Sub(now) + kcrclock.Duration(s.firstEvent(now, u, u.uncached(&req))); !ok || d < expected {
+			expected, ok = d, true
+		}
+	}
+	return expected, ok
+}
+
 // place returns when an upstream may take a request. It returns false if that does not depend on
 // the time.
 func (s *service) place(now kcrclock.Time, u *upstream, req *Request) (p Place, suits bool) {
--- a/router/kcrgateway/dial_timer_test.go
+++ b/router/kcrgateway/dial_timer_test.go
@@ -1,6 +1,7 @@
 package kcrgateway
 
 import (
+	"io"
 	"net"
 	"os"
 	"testing"
@@ -42,7 +43,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	p := newPool(4)
+	p := newPool(4, func(r io.Reader) io.Reader { return r })
 	for range 4 {
 		if _, err := p.dial("u", listener.Addr().String(), 1); err == nil {
 			t.Fatal("expected no connection without time")
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -276,9 +276,7 @@
 // admissionWait returns what bounds the wait of the request for tokens of its team.
 func (x *exchange) admissionWait(now kcrclock.Time) kcradmission.Wait {
 	wait := kcradmission.Wait{Deadline: x.deadline, Target: x.route.LatencyTarget, LinkDelay: x.gateway.link.Delay(now)}
-	if forecast, ok := x.gateway.table.Forecast(now, x.placementRequest()); ok {
-		wait.First = forecast.FirstEvent
-	}
+	wait.First, _ = x.gateway.table.FirstEvent(now, x.placementRequest())
 	return wait
 }
 
