--- a/kernel/kcradmission/queue.go
+++ b/kernel/kcradmission/queue.go
@@ -3,8 +3,9 @@
 //
 // A Queue holds the requests of a service that wait at a router because no upstream takes them at
 // the moment. A Limiter holds the runs that wait at one upstream, and learns how many that runs at
-// once. Both keep one order, by rank, share of the team, and time. A Link tells what waits at a
-// router's own link.
+// once. Both keep one order, by rank, share of the team, and time. A Link tells what waits to be sent
+// at a router's own link, and an Inflow whether what comes in fills it. A Wait bounds how long a
+// request waits for anything.
 //
 // They answer loads above what the upstreams take: a burst, engines that are gone, cold, limited or
 // slow. Below that, no request ever waits.
