Memory: one function ends those that lose their places

Change: kcrmemory.EndAll; behaviour as before. Result: tests of kcrmemory and kcrlink, of bodies and lost places in kcrgateway, and of checks pass.

--- a/kernel/kcrmemory/account.go
+++ b/kernel/kcrmemory/account.go
@@ -122,6 +122,13 @@
 // End ends a holder that has lost its place.
 func (h *Holder) End() { h.end(h.stage) }
 
+// EndAll ends holders that have lost their places.
+func EndAll(losers []*Holder) {
+	for _, loser := range losers {
+		loser.End()
+	}
+}
+
 // Lost reports whether the holder has lost its place, or was removed.
 func (h *Holder) Lost() bool { return h.isOut.Load() }
 
--- a/link/kcrlink/meter.go
+++ b/link/kcrlink/meter.go
@@ -43,9 +43,7 @@
 		s.onLoss(conn.RemoteAddr(), "place lost")
 		_ = conn.Close()
 	})
-	for _, loser := range losers {
-		loser.End()
-	}
+	kcrmemory.EndAll(losers)
 	if holder == nil {
 		s.onLoss(conn.RemoteAddr(), "no connection left")
 		return nil
@@ -93,9 +91,7 @@
 func (m *meter) reserve(n int) bool {
 	now := m.server.clock.Now()
 	outcome, losers := m.server.memory.Grow(now, m.holder, kcrmemory.Messages, n)
-	for _, loser := range losers {
-		loser.End()
-	}
+	kcrmemory.EndAll(losers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if outcome == kcrmemory.Granted {
--- a/router/kcrgateway/place.go
+++ b/router/kcrgateway/place.go
@@ -55,7 +55,7 @@
 	p := &place{gateway: g, conn: conn}
 	for range maxPlacePolls {
 		holder, losers := g.memory.Open(g.clock.Now(), p.end)
-		endAll(losers)
+		kcrmemory.EndAll(losers)
 		if holder != nil {
 			p.holder = holder
 			return p
@@ -66,12 +66,6 @@
 	return nil
 }
 
-func endAll(losers []*kcrmemory.Holder) {
-	for _, loser := range losers {
-		loser.End()
-	}
-}
-
 // end ends the connection, which has lost its place in a stage.
 func (p *place) end(stage kcrmemory.Stage) {
 	p.gateway.noteLoss(p.conn, stage.String(), "place lost")
@@ -102,7 +96,7 @@
 // enter sets the stage of the connection. It reports whether the connection still has its place.
 func (p *place) enter(stage kcrmemory.Stage) bool {
 	ok, losers := p.gateway.memory.SetStage(p.gateway.clock.Now(), p.holder, stage)
-	endAll(losers)
+	kcrmemory.EndAll(losers)
 	return ok
 }
 
@@ -118,7 +112,7 @@
 	g := p.gateway
 	for range maxRoomPolls {
 		outcome, losers := g.memory.Grow(g.clock.Now(), p.holder, kind, n)
-		endAll(losers)
+		kcrmemory.EndAll(losers)
 		switch outcome {
 		case kcrmemory.Granted:
 			return nil
--- a/router/kcrgateway/place_test.go
+++ b/router/kcrgateway/place_test.go
@@ -49,7 +49,7 @@
 	if len(losers) != 1 {
 		t.Fatalf("expected the connection to lose its place, got %d losers", len(losers))
 	}
-	endAll(losers)
+	kcrmemory.EndAll(losers)
 	c := &callerConn{conn: conn, place: p, sent: func(int) {}, br: bufio.NewReaderSize(conn, callerBufSize)}
 	if g.serveRequest(c) {
 		t.Error("expected the connection to end")
