Reserve: how long a request may wait is worked out only as it waits

Cause: each request of a prepaid team looked at all upstreams of its service for the expected first event, to bound a wait for escrow that hardly any of them has. Change: Reserve takes a function for the bound, and calls it as the wait begins; behaviour as before. What is saved grows with the upstreams of a service, and was not measured.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -45,8 +45,8 @@
 // TeamBudget holds the functions that reserve and settle tokens of a team's budget.
 type TeamBudget struct {
 	// Reserve reserves worstCase tokens, the most that the request can use. It may
-	// wait up to maxWait for escrow, but not after waitEnds is closed.
-	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome
+	// wait for escrow up to the result of longestWait, but not after waitEnds is closed.
+	Reserve func(team kcrid.Team, worstCase kcrid.Tokens, longestWait func() kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome
 	// Settle replaces a reservation of worstCase tokens by the used tokens.
 	Settle func(team kcrid.Team, worstCase, used kcrid.Tokens)
 	// StoreIsLost reports whether the store does not respond, so that no escrow can be granted.
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -135,7 +135,7 @@
 	waiting chan struct{} // receives each request that is to wait until its wait is ended, nil for none
 }
 
-func (b *fakeBudget) reserve(_ kcrid.Team, worstCase kcrid.Tokens, _ kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome {
+func (b *fakeBudget) reserve(_ kcrid.Team, worstCase kcrid.Tokens, _ func() kcrclock.Duration, waitEnds <-chan struct{}) kcrbudget.ReserveOutcome {
 	if b.waiting != nil {
 		b.waiting <- struct{}{}
 		<-waitEnds
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -252,7 +252,8 @@
 		return true
 	}
 	budget, start := &x.gateway.config.Budget, x.gateway.clock.Now()
-	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), x.admissionWait(start).Longest(start), x.cancelled)
+	longestWait := func() kcrclock.Duration { return x.admissionWait(start).Longest(start) }
+	outcome := budget.Reserve(x.team.Name, x.usage.maxTokens(), longestWait, x.cancelled)
 	now := x.gateway.clock.Now()
 	x.budgetWait = now.Sub(start)
 	switch {
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -77,30 +77,31 @@
 }
 
 // Reserve takes the worst case of a request, in tokens, out of a team's budget. If
-// escrow is missing but may still arrive, it waits for it up to maxWait, or until
-// callerLeft is closed.
-func (n *Node) Reserve(team kcrid.Team, worstCase kcrid.Tokens, maxWait kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome {
+// escrow is missing but may still arrive, it waits for it up to the result of longestWait, which
+// it calls only then, or until callerLeft is closed.
+func (n *Node) Reserve(team kcrid.Team, worstCase kcrid.Tokens, longestWait func() kcrclock.Duration, callerLeft <-chan struct{}) kcrbudget.ReserveOutcome {
 	b, plan := n.bucketOf(team), kcrid.Plan(team)
-	start := n.clock.Now()
-	var timer *time.Timer
+	var timer *time.Timer // of the wait, nil before it begins
+	var waitEnds kcrclock.Time
 	for {
 		changed := n.escrowChanged.Wait()
 		now := n.clock.Now()
 		outcome := b.wallet.Reserve(now, plan, worstCase)
-		remaining := maxWait - now.Sub(start)
 		switch {
 		case outcome == kcrbudget.Granted || outcome == kcrbudget.BudgetExhausted:
 			return outcome
 		case b.refusedRecently(now, plan, worstCase):
 			return kcrbudget.BudgetExhausted
-		case remaining <= 0:
-			return outcome
 		}
-		n.borrow(b, plan, worstCase)
 		if timer == nil {
-			timer = time.NewTimer(remaining.Std())
+			wait := longestWait()
+			timer, waitEnds = time.NewTimer(wait.Std()), now.Add(wait)
 			defer timer.Stop()
 		}
+		if now >= waitEnds {
+			return outcome
+		}
+		n.borrow(b, plan, worstCase)
 		select {
 		case <-changed:
 		case <-time.After(borrowInterval):
