Routers: one list of processes that are passed over for a time

Cause: permits and the load of others each kept addresses with a time, a bound and a clear beyond it. Change: silentHosts serves both; behaviour as before. Result: kcrnode passes with -race.

--- a/router/kcrnode/load.go
+++ b/router/kcrnode/load.go
@@ -41,17 +41,17 @@
 	calls    *prometheus.CounterVec
 
 	mu        sync.Mutex
-	zones     map[kcrid.Zone][]string  // processes beside upstreams, in the order of preference
-	skipUntil map[string]kcrclock.Time // collectors that have failed
-	upstreams int                      // with a process beside them
-	digestAt  kcrclock.Time            // when the load in the last digest was, in the mean
-	known     int                      // upstreams in the last digest
+	zones     map[kcrid.Zone][]string // processes beside upstreams, in the order of preference
+	failed    silentHosts             // collectors
+	upstreams int                     // with a process beside them
+	digestAt  kcrclock.Time           // when the load in the last digest was, in the mean
+	known     int                     // upstreams in the last digest
 	hasDigest bool
 }
 
 func newLoadDesk() *loadDesk {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "kcr_loads_calls_total", Help: "Calls for the load of other routers, by how they ended."}, []string{"result"})
-	return &loadDesk{calls: calls, skipUntil: map[string]kcrclock.Time{}}
+	return &loadDesk{calls: calls, failed: silentHosts{}}
 }
 
 // update replaces the processes beside upstreams, by their zone.
@@ -75,7 +75,7 @@
 	}
 	for name, addrs := range d.zones {
 		addrs = addrs[:min(len(addrs), maxCollectorRank)]
-		i := slices.IndexFunc(addrs, func(addr string) bool { return now >= d.skipUntil[addr] })
+		i := slices.IndexFunc(addrs, func(addr string) bool { return !d.failed.has(now, addr) })
 		switch {
 		case name != zone:
 			others = append(others, addrs[0])
@@ -100,10 +100,7 @@
 func (d *loadDesk) recordFailure(now kcrclock.Time, addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.skipUntil) >= maxSilent {
-		clear(d.skipUntil)
-	}
-	d.skipUntil[addr] = now.Add(sharePause)
+	d.failed.add(addr, now.Add(sharePause))
 }
 
 // recordDigest records the digest in force.
--- a/router/kcrnode/permit.go
+++ b/router/kcrnode/permit.go
@@ -35,12 +35,12 @@
 	own *kcrpermit.Issuer // for upstreams whose issuer does not answer
 
 	mu     sync.Mutex
-	beside map[kcrid.VM]string      // addresses of the processes beside upstreams
-	silent map[string]kcrclock.Time // addresses that are not asked before a time
+	beside map[kcrid.VM]string // addresses of the processes beside upstreams
+	silent silentHosts         // that have not answered
 }
 
 func newPermitDesk() *permitDesk {
-	return &permitDesk{own: kcrpermit.New(), silent: map[string]kcrclock.Time{}}
+	return &permitDesk{own: kcrpermit.New(), silent: silentHosts{}}
 }
 
 // update replaces the processes beside upstreams.
@@ -61,20 +61,14 @@
 func (d *permitDesk) isSilent(now kcrclock.Time, addr string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now < d.silent[addr]
+	return d.silent.has(now, addr)
 }
 
-// maxSilent bounds the processes that are not asked; beyond it, all of them are asked again.
-const maxSilent = 1024
-
 // recordFailure records that a process has not answered.
 func (d *permitDesk) recordFailure(now kcrclock.Time, addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.silent) >= maxSilent {
-		clear(d.silent)
-	}
-	d.silent[addr] = now.Add(permitRetryDelay)
+	d.silent.add(addr, now.Add(permitRetryDelay))
 }
 
 // TakePermit takes a permit for one request to an upstream with a rate limit. If there is none,
