--- a/kernel/kcradmission/limit.go
+++ b/kernel/kcradmission/limit.go
@@ -148,7 +148,8 @@
 	l.order.remove(t)
 }
 
-// startQueued takes the runs whose turn it is: it drops those whose time has passed, starts the others, and stops at the first that can't start yet.
+// startQueued takes the runs whose turn it is: it drops those whose time has passed, starts the
+// others, and stops at the first that can't start yet.
 func (l *Limiter) startQueued(now kcrclock.Time) (started, expired []Ticket) {
 	for next, ok := l.order.first(); ok; next, ok = l.order.first() {
 		if next.Latest < now {
