--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,45 @@
+// Command standin-2 plays the scripted cases of the second review: stand-ins of the store, the
+// engines and the clients, and the project's own programs as separate processes.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+func main() {
+	cases := map[string]func(*lab) (broken bool, err error){"crowd": playCrowd}
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE REPOSITORY RECORD")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(play(cases[os.Args[1]]))
+}
+
+// play plays a case and returns the exit code.
+func play(playCase func(*lab) (bool, error)) int {
+	l, err := newLab(os.Args[2], os.Args[3])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer l.close()
+	broken, err := playCase(l)
+	switch {
+	case err != nil:
+		l.sayf("could not run: %v", err)
+		return exitNotRun
+	case broken:
+		l.sayf("broken")
+		return exitBroken
+	}
+	l.sayf("held")
+	return exitHeld
+}
