review 7: tokens that homes hold are lost for good with their machines

Cause: only a successor on the same machine settles the grant of a home that has ended, so that a tenant gets 402 with paid tokens left. Nothing of the product is changed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	cases := map[string]func(*lab) (broken bool, err error){"crowd": playCrowd}
+	cases := map[string]func(*lab) (broken bool, err error){"crowd": playCrowd, "strand": playStrand}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE REPOSITORY RECORD")
 		os.Exit(exitNotRun)
