review: stand-ins without what no case uses

Cause: the stand-ins held functions for experiments. Change: they are removed; the build needs no version control.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off go build -C review/standin-2 -o ../../target/standin-2 .
+GOWORK=off go build -C review/standin-2 -buildvcs=false -o ../../target/standin-2 .
--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -51,7 +51,7 @@
 // startCrowd starts the engines and the router.
 func startCrowd(l *lab) (*router, error) {
 	for i := range engineCount {
-		c := engineConfig{id: fmt.Sprintf("i-llm%02d", i), service: "llm", zone: "lima-a", slots: 48, queue: 144, keepAlive: 15, events: 10, gap: 300 * time.Millisecond, tokens: 7}
+		c := engineConfig{id: fmt.Sprintf("i-llm%02d", i), service: "llm", zone: "lima-a", slots: 48, queue: 144, keepAlive: 15, events: 10, gap: 300 * time.Millisecond}
 		if _, err := l.startEngine(c, "127.0.0.1"); err != nil {
 			return nil, err
 		}
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -28,7 +28,6 @@
 	keepAlive int           // seconds
 	events    int           // of a stream
 	gap       time.Duration // between two events
-	tokens    int           // in an event
 	work      time.Duration // of a request that is no stream
 }
 
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -371,15 +369,3 @@
 	})
 	l.logf("configuration %d acknowledged", version)
 }
-
-// atoi converts digits; what is none is 0.
-func atoi(s string) int {
-	n, _ := strconv.Atoi(s)
-	return n
-}
-
-// dump writes a value as JSON to the record.
-func (l *lab) dump(name string, value any) {
-	data, _ := json.Marshal(value)
-	l.logf("%s %s", name, data)
-}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -47,9 +47,6 @@
 	mu       sync.Mutex
 	topics   map[string]*storeTopic
 	appended chan struct{} // closed and replaced at each append
-	// refuse returns the status with which a call is refused, 0 for none. It may be nil.
-	refuse func(r *http.Request) int
-	calls  int
 }
 
 // newStore starts a store on a free loopback port.
@@ -64,16 +61,6 @@
 	mux.HandleFunc("GET /kingcuprun/log-read", s.handleRead)
 	mux.HandleFunc("GET /kingcuprun/log-newest", s.handleNewest)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		s.calls++
-		refuse := s.refuse
-		s.mu.Unlock()
-		if refuse != nil {
-			if status := refuse(r); status != 0 {
-				w.WriteHeader(status)
-				return
-			}
-		}
 		time.Sleep(s.answer)
 		mux.ServeHTTP(w, r)
 	})}
@@ -81,13 +68,6 @@
 	return s, nil
 }
 
-// setRefuse replaces the function that refuses calls.
-func (s *store) setRefuse(refuse func(r *http.Request) int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuse = refuse
-}
-
 // topic returns a topic and creates it if needed. The caller holds the lock.
 func (s *store) topic(name string) *storeTopic {
 	t := s.topics[name]
