--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -51,13 +51,13 @@
 // startCrowd starts the engines and the router.
 func startCrowd(l *lab) (*router, error) {
 	for i := range engineCount {
-		c := engineConfig{id: fmt.Sprintf("i-llm%02d", i), service: "llm", zone: "lima-a", slots: 48, queue: 144, keepAlive: 15, events: 10, gap: 300 * time.Millisecond}
+		c := engineConfig{id: fmt.Sprintf("i-llm%02d", i), service: "llm", zone: "lima-a", slots: 48, queue: 144, keepAlive: 15, conns: 290, events: 10, gap: 300 * time.Millisecond}
 		if _, err := l.startEngine(c, "127.0.0.1"); err != nil {
 			return nil, err
 		}
 	}
 	for i := range appCount {
-		c := engineConfig{id: fmt.Sprintf("i-app%02d", i), service: "app", zone: "lima-a", slots: 6, queue: 24, keepAlive: 15, work: 15 * time.Millisecond}
+		c := engineConfig{id: fmt.Sprintf("i-app%02d", i), service: "app", zone: "lima-a", slots: 6, queue: 24, keepAlive: 15, conns: 96, work: 15 * time.Millisecond}
 		if _, err := l.startEngine(c, "127.0.0.1"); err != nil {
 			return nil, err
 		}
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 	slots     int
 	queue     int
 	keepAlive int           // seconds
+	conns     int           // maxConnections, of all callers combined
 	events    int           // of a stream
 	gap       time.Duration // between two events
 	work      time.Duration // of a request that is no stream
@@ -54,7 +56,7 @@
 	}
 	e := &engine{engineConfig: c, lab: l, addr: listener.Addr().String(), born: time.Now().UnixMilli(), places: make(chan struct{}, c.slots)}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.handle), IdleTimeout: time.Duration(c.keepAlive+1) * time.Second}
-	go func() { _ = e.server.Serve(listener) }()
+	go func() { _ = e.server.Serve(&cappedListener{Listener: listener, most: int64(c.conns)}) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stopBeat = cancel
 	e.beat("ready")
@@ -179,3 +181,41 @@
 		flusher.Flush()
 	}
 }
+
+// cappedListener resets the connections beyond maxConnections.
+type cappedListener struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &cappedConn{Conn: conn, listener: l}, nil
+		}
+		l.open.Add(-1)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// cappedConn is a connection that counts towards maxConnections.
+type cappedConn struct {
+	net.Conn
+	listener *cappedListener
+	once     sync.Once
+}
+
+// Close implements net.Conn.
+func (c *cappedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -362,8 +362,8 @@
 	l.store.putJSON("keyed.op", "config", map[string]any{
 		"version": version, "routeTable": routes, "tenants": tenants,
 		"services": []any{
-			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConnections": 450, "engine": map[string]any{"slots": 64, "kvCapacity": 667670, "stride": 7}},
-			map[string]any{"name": "app", "healthPath": "/healthz", "maxConnections": 190},
+			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConnections": 290, "engine": map[string]any{"slots": 48, "kvCapacity": 667670, "stride": 7}},
+			map[string]any{"name": "app", "healthPath": "/healthz", "maxConnections": 96},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -31,6 +34,7 @@
 		return exitNotRun
 	}
 	defer l.close()
+	go l.closeEarly()
 	broken, err := playCase(l)
 	switch {
 	case err != nil:
@@ -43,3 +47,18 @@
 	l.sayf("held")
 	return exitHeld
 }
+
+// longestCase is the time after which a case that has not ended is given up.
+const longestCase = 110 * time.Second
+
+// closeEarly ends the case and its processes on a signal, or if it lasts too long.
+func (l *lab) closeEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-time.After(longestCase):
+	}
+	l.close()
+	os.Exit(exitNotRun)
+}
--- a/review/standin-2/strand.go
+++ b/review/standin-2/strand.go
@@ -63,7 +63,7 @@
 			return nil, nil, err
 		}
 		m := &sideMachine{name: fmt.Sprintf("side-%d", i+1)}
-		c := engineConfig{id: fmt.Sprintf("i-llm%02d", i), service: "llm", zone: "lima-a", slots: 48, queue: 144, keepAlive: 15, events: strandEvents, gap: 30 * time.Millisecond}
+		c := engineConfig{id: fmt.Sprintf("i-llm%02d", i), service: "llm", zone: "lima-a", slots: 48, queue: 144, keepAlive: 15, conns: 290, events: strandEvents, gap: 30 * time.Millisecond}
 		if m.engine, err = l.startEngine(c, ip); err != nil {
 			return nil, nil, err
 		}
