Gateway: an early answer without a length that is reset is not whole

Callers got a part of an answer as a complete success: the upstream had answered a long upload at once with a 200 without a length, sent a part of the body, and reset the connection while the upload was still being written.

Cause: a long request is written in a goroutine while the answer is read. The kernel reports a reset once, to whichever call comes first. Where the write took it, reads returned io.EOF, which ends a body that lasts until the connection is closed.

Change: before the close of a connection ends a body, the write is ended, and its error looked at.

--- a/link/kcrhttp/body.go
+++ b/link/kcrhttp/body.go
@@ -12,6 +12,7 @@
 // This file defines the reading and the encoding of message bodies. Invariant: a body
 // ends with io.EOF only if its framing proves that it is complete; a body that lasts
 // until the connection is closed is complete if the peer closed it without an error.
+// Where another goroutine writes to the connection, that is for ConfirmClose to tell.
 
 // framing tells how the end of a body is found.
 type framing int
@@ -32,6 +33,8 @@
 	partialLine bool  // an error interrupted the reading of a line of the chunked coding
 	done        bool  // the body was read to its end
 	err         error // error that every further Read returns
+
+	confirmClose func() error // see ConfirmClose, may be nil
 }
 
 // maxLine is the maximum length of a line of the chunked coding that holds the size of
@@ -122,6 +125,11 @@
 // UntilClose tells whether the body lasts until the connection is closed.
 func (b *Body) UntilClose() bool { return b.framing == framingUntilClose }
 
+// ConfirmClose makes the close of the connection end the body only if confirm returns nil, for a
+// body that lasts until then. The kernel reports a reset once, to whichever call comes first: if
+// that is a write, reads return io.EOF, as after an orderly close.
+func (b *Body) ConfirmClose(confirm func() error) { b.confirmClose = confirm }
+
 // Announced returns the bytes that are left of a body whose length is known, else 0.
 func (b *Body) Announced() int {
 	if b.framing != framingLength {
@@ -176,7 +184,15 @@
 		return n, err
 	case framingUntilClose:
 		n, err = b.r.Read(p)
-		b.done = errors.Is(err, io.EOF)
+		if !errors.Is(err, io.EOF) {
+			return n, err
+		}
+		if b.confirmClose != nil {
+			if err := b.confirmClose(); err != nil {
+				return n, err
+			}
+		}
+		b.done = true
 		return n, err
 	default:
 		return b.readChunked(p)
--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -6,7 +6,9 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"kingcuprun.example/kernel/kcrclock"
@@ -28,7 +30,8 @@
 	x            *exchange
 	choice       *kcrplacement.Choice // the chosen upstream
 	conn         *upstreamConn        // nil until connected
-	writeResult  chan error           // receives the error of a write in a goroutine, nil if there is none
+	writeResult  chan error           // receives the error of a write in a goroutine, nil if there is none or it has ended
+	writeErr     error                // of a write in a goroutine that has ended
 	fullyWritten bool                 // the whole request was written
 	head         *kcrhttp.Head        // of the response, nil until it is read
 	body         *kcrhttp.Body        // of the response, nil until its head is read
@@ -227,13 +230,31 @@
 	}
 	select {
 	case err := <-a.writeResult:
-		a.fullyWritten = err == nil
-		a.writeResult = nil
+		a.recordWritten(err)
 	default:
 	}
 	return a.fullyWritten
 }
 
+// recordWritten records the end of a write in a goroutine.
+func (a *attempt) recordWritten(err error) {
+	a.writeResult, a.writeErr, a.fullyWritten = nil, err, err == nil
+}
+
+// confirmClose ends the write of the request after the upstream has closed the connection, and
+// returns an error unless it was an orderly close. The write may have taken the error of a reset,
+// so that the reads have seen none. EPIPE tells of a reset too, but of one after an orderly close.
+func (a *attempt) confirmClose() error {
+	if a.writeResult != nil {
+		_ = a.conn.SetWriteDeadline(time.Unix(1, 0))
+		a.recordWritten(<-a.writeResult)
+	}
+	if a.writeErr == nil || errors.Is(a.writeErr, os.ErrDeadlineExceeded) || errors.Is(a.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return io.ErrUnexpectedEOF
+}
+
 // readResponseHead reads the response head and gives up at the deadline. It skips
 // responses to other requests, which the connection may still deliver.
 func (a *attempt) readResponseHead(deadline kcrclock.Time) (state attemptState, reason string) {
@@ -247,6 +268,7 @@
 		if err != nil {
 			return stateMayHaveRun, readErrorReason(err)
 		}
+		body.ConfirmClose(a.confirmClose)
 		echoedID := head.Get(a.x.gateway.headerNames.RequestID)
 		if echoedID != "" && echoedID != a.x.id {
 			if body.Discard(maxStrayBody) != nil || body.UntilClose() {
