HTTP: a malformed status line is no answer

Callers could get an answer whose status line breaks the protocol: a status of four digits was cut to three (2000 came out as 200), a 101 that nobody had asked for was passed on, and control bytes in the reason phrase, a bare CR among them, were passed on as they came.

Cause: ReadResponse took three digits and did not look at what follows them; it let 101 through although no request carries Upgrade.

The two shapes that were reported, the status 000 and a blank or a control byte in the name of a field, were handled already: those cases of TestMalformedHeadIsNoAnswer passed before.

Evidence: TestMalformedHeadIsNoAnswer, 45 heads on four kinds of routes, on new and kept connections; before the change it failed for "2000", "101" and the four reason phrases on /once/ and /safe/. All pass after it.

Change: the code ends with the line or a blank, the reason phrase holds no control bytes, 101 is an error. An idempotent request is served by another upstream, others get 502.

--- a/link/kcrhttp/head.go
+++ b/link/kcrhttp/head.go
@@ -243,8 +243,12 @@
 // maxInformational is the maximum number of informational responses before a response.
 const maxInformational = 8
 
+// switchingProtocols is the status of a response to a request to upgrade the connection. No
+// request makes it: Upgrade is a hop-by-hop field.
+const switchingProtocols = 101
+
 // ReadResponse reads the head of a response of at most limit bytes. It skips
-// informational responses except 101 Switching Protocols, at most maxInformational.
+// informational responses, at most maxInformational.
 func ReadResponse(r *bufio.Reader, limit int) (h *Head, err error) {
 	for range maxInformational + 1 {
 		block, err := readBlock(r, limit)
@@ -262,7 +266,7 @@
 		if h.Fields, err = parseFields(block[end+1:]); err != nil {
 			return nil, err
 		}
-		if h.Status >= 200 || h.Status == 101 {
+		if h.Status >= 200 {
 			return h, nil
 		}
 	}
@@ -274,12 +278,16 @@
 	if malformed || line[7] != '0' && line[7] != '1' {
 		return newProtocolError(statusBadRequest, "status line: expected HTTP/1.1 CODE, got %q", truncate(line))
 	}
-	status, err := strconv.Atoi(line[statusOffset : statusOffset+statusLen])
-	if err != nil || status < minStatus || status > maxStatus {
-		return newProtocolError(statusBadRequest, "status line: expected a code of %d to %d, got %q", minStatus, maxStatus, truncate(line))
+	code, reason := line[statusOffset:statusOffset+statusLen], line[statusOffset+statusLen:]
+	status, err := strconv.Atoi(code)
+	if err != nil || status < minStatus || status > maxStatus || status == switchingProtocols || reason != "" && reason[0] != ' ' {
+		return newProtocolError(statusBadRequest, "status line: expected a code of %d to %d other than %d, got %q", minStatus, maxStatus, switchingProtocols, truncate(line))
+	}
+	if !isText(reason) {
+		return newProtocolError(statusBadRequest, "status line: expected visible characters, got %q", truncate(line))
 	}
 	h.Status, h.IsHTTP10 = status, line[7] == '0'
-	h.Reason = strings.TrimPrefix(line[statusOffset+statusLen:], " ")
+	h.Reason = strings.TrimPrefix(reason, " ")
 	return nil
 }
 
--- a/link/kcrhttp/http_test.go
+++ b/link/kcrhttp/http_test.go
@@ -139,6 +139,13 @@
 		"HTTP/1.1 20",
 		"garbage\r\n\r\n",
 		"HTTP/1.1 999 Odd\r\n\r\n",
+		"HTTP/1.1 000 Odd\r\n\r\n",
+		"HTTP/1.1 2000 Odd\r\n\r\n",
+		"HTTP/1.1 101 Odd\r\n\r\n",
+		"HTTP/1.1 200 O\x00K\r\n\r\n",
+		"HTTP/1.1 200 O\rK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX A: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX\x01A: 1\r\n\r\n",
 	} {
 		if body, err := response(in); err == nil {
 			t.Errorf("%q: expected an error, got the body %q", in, body)
--- /dev/null
+++ b/router/kcrgateway/malformed_head_test.go
@@ -0,0 +1,87 @@
+package kcrgateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+)
+
+// These tests bring about answers whose head breaks the protocol in one line.
+
+// malformedHead is a head with %s for the ID of the request, of an answer with the body "forged".
+type malformedHead struct{ name, head string }
+
+func malformedHeads() (heads []malformedHead) {
+	const fields = "X-Id: %s\r\nX-Signature: s\r\n"
+	for _, status := range []string{"000", "001", "099", "600", "999", "20", "2000", "2 0", "+20", "0x1", "", "101"} {
+		heads = append(heads, malformedHead{"status " + status, "HTTP/1.1 " + status + " OK\r\n" + fields + "Content-Length: 6\r\n\r\n"})
+	}
+	for _, version := range []string{"HTTP/1.2", "HTTP/2.0", "http/1.1", "HTTP/1.1\t", "ICY"} {
+		heads = append(heads, malformedHead{"version " + version, version + " 200 OK\r\n" + fields + "Content-Length: 6\r\n\r\n"})
+	}
+	for _, line := range []string{
+		"X A: 1", "X-A : 1", "X-A\t: 1", " X-A: 1", "\tX-A: 1", ": 1", "X-A", "X\x00A: 1", "X\x01A: 1", "X\x0bA: 1", "X\x7fA: 1", "X\rA: 1", "X\x80A: 1",
+		"Content-Length : 3", "Transfer-Encoding : chunked", "Transfer-Encoding\x0b: chunked", "Content-Length: 3", "Transfer-Encoding: chunked",
+		"X-A: \x00", "X-A: \x01", "X-A: a\rX-B: b", "X-A: \x7f",
+	} {
+		heads = append(heads, malformedHead{fmt.Sprintf("field %q", line), "HTTP/1.1 200 OK\r\n" + fields + line + "\r\nContent-Length: 6\r\n\r\n"})
+	}
+	for _, reason := range []string{"O\x00K", "O\x01K", "OK\rX-A: 1", "OK\x7f"} {
+		heads = append(heads, malformedHead{fmt.Sprintf("reason %q", reason), "HTTP/1.1 200 " + reason + "\r\n" + fields + "Content-Length: 6\r\n\r\n"})
+	}
+	return append(
+		heads,
+		malformedHead{"bare LF", "HTTP/1.1 200 OK\n" + strings.ReplaceAll(fields, "\r", "") + "Content-Length: 6\n\n"},
+		malformedHead{"informational field", "HTTP/1.1 100 Continue\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 6\r\n\r\n"},
+	)
+}
+
+// TestMalformedHeadIsNoAnswer guards against an answer that breaks the protocol in its head, and
+// that the caller gets as an answer. Idempotent requests and resumable streams are served by the
+// other upstream.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, kept := range []bool{false, true} {
+		for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
+			for _, h := range malformedHeads() {
+				t.Run(fmt.Sprint(path, h.name, kept), func(t *testing.T) {
+					t.Parallel()
+					checkMalformed(t, h, path, kept)
+				})
+			}
+		}
+	}
+}
+
+func checkMalformed(t *testing.T, h malformedHead, path string, kept bool) {
+	t.Helper()
+	troubled := newUpstream(t, "troubled", func(_ int, req request, conn net.Conn) bool {
+		if req.head.Get("X-Sound") != "" {
+			return respond(conn, req.id(), "200 OK", "", "fine")
+		}
+		_, _ = io.WriteString(conn, fmt.Sprintf(h.head, req.id())+"forged")
+		return true
+	})
+	sound := newUpstream(t, "sound", respondOK)
+	gw := newTestGateway(t, troubled, sound)
+	gw.placeNearAndFar(troubled, sound)
+	if kept {
+		if _, body, err := roundTrip(t, gw, "/once/", "X-Sound: 1\r\n"); err != nil || body != "fine" {
+			t.Fatalf("expected an answer on a new connection, got %q, %v", body, err)
+		}
+	}
+	head, body, err := roundTrip(t, gw, path, "")
+	runsAgain := path == "/safe/" || path == "/resume/"
+	switch {
+	case err != nil:
+		t.Errorf("expected an answer, got %v", err)
+	case strings.Contains(body, "for") || len(head.Fields) == 0 || head.Has("X-A") || head.Has("X-B"):
+		t.Errorf("expected nothing of the upstream's bytes, got %+v %q", head, body)
+	case runsAgain && path == "/safe/" && (head.Status != 200 || body != "fine"):
+		t.Errorf("expected the answer of the other upstream, got %+v %q", head, body)
+	case !runsAgain && head.Status != 502:
+		t.Errorf("expected 502, got %+v %q", head, body)
+	}
+}
