Clients of fasthttp: a malformed head is no answer

Callers of our own interface got a success with the status 000, with a blank in the name of a field, with lines that end with LF alone or with another version of HTTP; where such a field hid the length, the body was not the upstream's; statuses 600 and 999 were passed on, and 001 and 099 broke the caller's connection. An append to the platform's store counted as acknowledged, and a read of it as the end of a topic, on such an answer. Texts of 502 quoted the upstream's bytes.

Cause: the sidecar, the clients of the store and of the log service, and the operators' command read answers by fasthttp, which takes the status 000 for 200 and tolerates such heads. Routers on the platform read them by kcrhttp, which does not.

A malformed answer is no crash of the upstream, since sound requests would be banned for it, and callers get a text that quotes nothing of it.

--- a/bench/kcrrig/rig.go
+++ b/bench/kcrrig/rig.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/netip"
 	"os"
 	"sync/atomic"
@@ -55,6 +56,7 @@
 	EngineSlots      int // concurrent requests per engine, at least 16
 	SnapshotInterval kcrclock.Duration
 	SidecarRules     *kcrsidecar.Rules // nil for the production rules
+	ServeUpstream    func(net.Conn)    // serves the connections to upstreams in place of the stand-ins, nil for those
 	Logger           *slog.Logger
 }
 
@@ -72,6 +74,7 @@
 	Operator *kcroperate.Operator
 
 	apps          []*fiber.App
+	listeners     []net.Listener // of Size.ServeUpstream
 	pools         map[kcrid.VM]*kcrlink.Pool
 	sidecarStarts int
 	size          Size
@@ -182,6 +185,9 @@
 
 // startUpstream serves a stand-in engine or a stand-in plain service.
 func (r *Rig) startUpstream(u kcrsettings.Upstream) error {
+	if r.size.ServeUpstream != nil {
+		return r.listenUpstream(u.Upstream)
+	}
 	app := fiber.New()
 	if u.Service == Model {
 		e := kcrstandin.NewEngine(kcrstandin.DefaultEngineSettings())
@@ -196,6 +202,25 @@
 	return kcrdaemon.Serve(app, u.Upstream)
 }
 
+// listenUpstream passes the connections to an address to Size.ServeUpstream.
+func (r *Rig) listenUpstream(addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	r.listeners = append(r.listeners, listener)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.size.ServeUpstream(conn)
+		}
+	}()
+	return nil
+}
+
 // StartSidecar starts the sidecar of the upstream with index i. After a stop or a
 // kill, it starts the sidecar again as a new process.
 func (r *Rig) StartSidecar(i int) (*kcrsidecar.Sidecar, error) {
@@ -292,5 +317,8 @@
 	for _, app := range r.apps {
 		wait.Go(func() { _ = app.ShutdownWithTimeout(pollInterval) })
 	}
+	for _, listener := range r.listeners {
+		_ = listener.Close()
+	}
 	wait.Wait()
 }
--- a/kingcuprun/kcroperate/command.go
+++ b/kingcuprun/kcroperate/command.go
@@ -376,7 +376,7 @@
 // fetchExplanation returns the log lines on a request that the process at an admin
 // address holds.
 func fetchExplanation(adminAddr, request string) (lines []string, err error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+adminAddr+"/explain/"+request, 2*time.Second)
+	status, body, err := kcrplatform.NewHTTPClient().GetTimeout(nil, "http://"+adminAddr+"/explain/"+request, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/link/kcrhttp/head.go
+++ b/link/kcrhttp/head.go
@@ -255,24 +255,32 @@
 		if err != nil {
 			return nil, err
 		}
-		h = &Head{}
-		end := strings.IndexByte(block, '\n')
-		if end < 1 {
-			return nil, newProtocolError(statusBadRequest, "status line: expected HTTP/1.1 CODE, got an empty line")
-		}
-		if err := h.parseStatusLine(block[:end-1]); err != nil {
-			return nil, err
-		}
-		if h.Fields, err = parseFields(block[end+1:]); err != nil {
-			return nil, err
-		}
-		if h.Status >= 200 {
-			return h, nil
+		if h, err = parseResponse(block); err != nil || !h.isInformational() {
+			return h, err
 		}
 	}
 	return nil, newProtocolError(statusBadRequest, "expected at most %d informational responses", maxInformational)
 }
 
+// parseResponse parses the head of a response; see readBlock.
+func parseResponse(block string) (h *Head, err error) {
+	end := strings.IndexByte(block, '\n')
+	if end < 1 {
+		return nil, newProtocolError(statusBadRequest, "status line: expected HTTP/1.1 CODE, got an empty line")
+	}
+	h = &Head{}
+	if err := h.parseStatusLine(block[:end-1]); err != nil {
+		return nil, err
+	}
+	if h.Fields, err = parseFields(block[end+1:]); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// isInformational reports whether the head of another response follows that of this one.
+func (h *Head) isInformational() bool { return h.Status < 200 }
+
 func (h *Head) parseStatusLine(line string) error {
 	malformed := len(line) < statusOffset+statusLen || !strings.HasPrefix(line, "HTTP/1.") || line[statusOffset-1] != ' '
 	if malformed || line[7] != '0' && line[7] != '1' {
--- a/link/kcrplatform/platform.go
+++ b/link/kcrplatform/platform.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/url"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/kernel/kcrlog"
 	"kingcuprun.example/kernel/kcrroute"
+	"kingcuprun.example/link/kcrhttp"
 )
 
 // Paths of the requests to the platform's services.
@@ -74,9 +76,17 @@
 	maxResponse    = 64 << 20 // bytes
 )
 
-// NewHTTPClient returns an HTTP client that sends each request at most once.
+// NewHTTPClient returns an HTTP client that sends each request at most once, and to which a
+// response whose head breaks the protocol is an error.
 func NewHTTPClient() *fasthttp.Client {
 	return &fasthttp.Client{
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := fasthttp.Dial(addr)
+			if err != nil {
+				return nil, err
+			}
+			return kcrhttp.NewCheckedConn(conn), nil
+		},
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxResponseBodySize:       maxResponse,
--- a/sidecar/kcrsidecar/plain.go
+++ b/sidecar/kcrsidecar/plain.go
@@ -35,7 +35,8 @@
 	case errors.Is(err, errNotSent):
 		return &kcrerror.Refusal{Code: kcrerror.NoUpstream, Text: unreachableText, RetryAfterSeconds: 1}
 	case err != nil:
-		return &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: err.Error(), MayHaveRun: true}
+		s.decisions.Add(req.GetId(), "answer not whole", "err", err.Error())
+		return &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: brokenAnswerText(err), MayHaveRun: true}
 	}
 	return frames.end(0)
 }
--- a/sidecar/kcrsidecar/run.go
+++ b/sidecar/kcrsidecar/run.go
@@ -232,6 +232,8 @@
 		return kcrbudget.Broken, "cancelled", &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: "the caller left", MayHaveRun: true}
 	case metered.overBound:
 		return kcrbudget.Broken, "over", &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: "the upstream exceeded the bound of the request", MayHaveRun: true}
+	case isMalformed(err):
+		return kcrbudget.Broken, "malformed", &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: brokenAnswerText(err), MayHaveRun: true}
 	case err != nil || !ended:
 		return kcrbudget.Broken, "crashed", &kcrerror.Refusal{Code: kcrerror.UpstreamCrashed, Text: "the upstream broke the answer off", MayHaveRun: true}
 	default:
--- a/sidecar/kcrsidecar/upstream.go
+++ b/sidecar/kcrsidecar/upstream.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kingcuprun.example/kernel/kcrid"
+	"kingcuprun.example/link/kcrhttp"
 )
 
 // This file defines the HTTP client for the upstream and the counter of the
@@ -53,7 +54,7 @@
 			if err != nil {
 				return nil, errors.Join(errNotSent, err)
 			}
-			return conn, nil
+			return kcrhttp.NewCheckedConn(conn), nil
 		},
 	}}
 }
@@ -75,6 +76,22 @@
 	data func([]byte) bool
 }
 
+// isMalformed reports whether an answer broke the protocol in its head. An upstream that sends
+// such an answer still runs.
+func isMalformed(err error) bool {
+	var malformed *kcrhttp.ProtocolError
+	return errors.As(err, &malformed)
+}
+
+// brokenAnswerText returns the text for callers about an answer that is not whole. It quotes
+// nothing of the answer, which may belong to another caller.
+func brokenAnswerText(err error) string {
+	if isMalformed(err) {
+		return "the upstream broke the protocol"
+	}
+	return "the upstream broke the answer off"
+}
+
 // send sends a request to the upstream and passes the answer to the handler.
 // Every request opens its own connection: the upstream may close a kept-alive
 // connection at any time, and then it is unknown whether the request arrived.
