Router: a head without a status of HTTP is no answer of a sidecar

A caller got 200 for a head of a sidecar with the status 0 or -1, got 600 as it was, and a broken connection for 99.

Cause: the status of a frame was handed to fasthttp unchecked, which writes 0 as 200.

Evidence: TestPeerAnswerWithoutStatusIsNoAnswer failed for 0, 99, 600 and -1 on all four kinds of requests, and passes.

Change: a head has a status of 200 to 599, or the attempt has failed.

--- a/bench/kcrrig/broken_answer_test.go
+++ b/bench/kcrrig/broken_answer_test.go
@@ -14,6 +14,8 @@
 
 	"kingcuprun.example/bench/kcrcaller"
 	"kingcuprun.example/link/kcrhttp"
+	"kingcuprun.example/link/kcrlink"
+	"kingcuprun.example/link/kcrwire"
 )
 
 // This file tests that answers of upstreams that break the protocol, or are cut off, reach no
@@ -141,3 +143,55 @@
 		})
 	}
 }
+
+// TestPeerAnswerWithoutStatusIsNoAnswer guards against the answer of a sidecar whose status is no
+// status of HTTP, and that a caller gets as a success.
+func TestPeerAnswerWithoutStatusIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, Size{Routers: 1, Engines: 1, Plains: 1, PrepaidTokens: 1_000_000})
+	var status atomic.Int32
+	var answers atomic.Int64
+	for i, u := range r.Settings.Upstreams {
+		r.Sidecars[i].Kill()
+		server, err := kcrlink.Listen(u.Listen, func(_ context.Context, req *kcrwire.Request, s *kcrlink.Stream) {
+			start := req.GetStart()
+			if start == nil {
+				_ = s.Send(&kcrwire.Reply{Error: "expected a start"})
+				return
+			}
+			answers.Add(1)
+			data := []byte(wholeStream)
+			_ = s.Send(&kcrwire.Frame{Attempt: start.GetAttempt(), Kind: &kcrwire.Frame_Head{Head: &kcrwire.Head{Status: status.Load()}}})
+			_ = s.Send(&kcrwire.Frame{Attempt: start.GetAttempt(), Seq: 1, Kind: &kcrwire.Frame_Data{Data: data}})
+			_ = s.Send(&kcrwire.Frame{Attempt: start.GetAttempt(), Seq: 2, Kind: &kcrwire.Frame_End{End: &kcrwire.End{Bytes: uint64(len(data))}}})
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+	}
+	c := kcrcaller.New(APIKey)
+	for _, req := range requests() {
+		for _, code := range []int32{200, 0, 99, 101, 600, -1} {
+			status.Store(code)
+			answers.Store(0)
+			a := sendUntil(func() bool { return answers.Load() > 0 }, func() kcrcaller.Answer {
+				return req.send(c, r.Settings.Routers[0].Listen, fmt.Sprint(req.name, code))
+			})
+			if got := strings.Contains(string(a.Body), "forged"); got != (code == 200) || a.Err != nil || answers.Load() == 0 {
+				t.Errorf("%s, status %d: expected %v, got %d %q, %v after %d answers", req.name, code, code == 200, a.Status, a.Body, a.Err, answers.Load())
+			}
+		}
+	}
+}
+
+// sendUntil sends requests until one was answered, for some seconds, and returns its answer.
+func sendUntil(answered func() bool, send func() kcrcaller.Answer) (a kcrcaller.Answer) {
+	for range 100 {
+		if a = send(); answered() {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return a
+}
--- a/router/kcrrouter/response.go
+++ b/router/kcrrouter/response.go
@@ -26,6 +26,12 @@
 	resumeDelay  = 200 * time.Millisecond
 )
 
+// Range of the status of a response.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // response is the response of one attempt. It is open once its head has arrived.
 type response struct {
 	router         *Router
@@ -69,6 +75,9 @@
 	if frame.GetHead() == nil {
 		return fmt.Errorf("first frame of a response: expected a head, got %T", frame.GetKind())
 	}
+	if status := frame.GetHead().GetStatus(); status < minStatus || status > maxStatus {
+		return fmt.Errorf("head of a response: expected a status of %d to %d, got %d", minStatus, maxStatus, status)
+	}
 	resp.head = frame.GetHead()
 	resp.router.applyLoadReport(resp.choice.VM, resp.req.service.Name, resp.head.GetLoad())
 	return nil
