Sidecar and router: answers without end are bounded

A faulty upstream behind a sidecar that sent a body without end, an event without end, or a stream of tiny chunks filled the memory of the sidecar and of the router, and with it ended the requests of others there.

Cause: the bound of the client of fasthttp (8 MiB) doesn't hold for a body that is streamed. The answer buffer, the counter of tokens and the router each kept all that came; the buffer of a non-idempotent call alone was bounded.

Heads without end were bounded before.

Change: kcranswer.Memory bounds an answer to 8 MiB and all that a process keeps to 32 MiB, where the largest one ends; an event to 64 KiB. The counter of tokens keeps only the event that has not ended. An answer that is too large is no crash of its upstream.

--- a/kernel/kcranswer/answer_buffer.go
+++ b/kernel/kcranswer/answer_buffer.go
@@ -1,6 +1,7 @@
 package kcranswer
 
 import (
+	"bytes"
 	"sync"
 
 	"kingcuprun.example/kernel/kcrid"
@@ -70,6 +71,21 @@
 	b.signal()
 }
 
+// Discard drops the answer so far, of which readers get no more, and ends it with an error.
+func (b *AnswerBuffer) Discard(err error) {
+	b.End(0, err)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.parts = nil
+}
+
+// Body returns a copy of the answer so far.
+func (b *AnswerBuffer) Body() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Join(b.parts, nil)
+}
+
 // View is a snapshot of a buffer for a reader that has read some of the parts.
 type View struct {
 	Status      int
--- a/router/kcrrouter/response.go
+++ b/router/kcrrouter/response.go
@@ -201,13 +201,20 @@
 	}
 }
 
-// readAll reads the data of the response up to its end.
+// readAll reads the data of the response up to its end. It gives up a response that is too large, or
+// the largest of several that are too large together.
 func (resp *response) readAll(ctx context.Context) (body []byte, err error) {
+	call := resp.call
+	share := resp.router.answers.Open(func() { _ = call.SetRecvDeadline(time.Unix(1, 0)) })
+	defer share.Close()
 	for {
 		data, err := resp.next(ctx)
 		if errors.Is(err, io.EOF) {
 			return body, nil
 		}
+		if err == nil {
+			err = share.Keep(len(data))
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/router/kcrrouter/router.go
+++ b/router/kcrrouter/router.go
@@ -21,6 +21,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 
+	"kingcuprun.example/kernel/kcranswer"
 	"kingcuprun.example/kernel/kcrclock"
 	"kingcuprun.example/kernel/kcrentry"
 	"kingcuprun.example/kernel/kcrid"
@@ -55,6 +56,7 @@
 	upstreamTable  *kcrroute.Table
 	retryBucket    *kcrroute.RetryBucket
 	crashSuspects  *crashSuspects
+	answers        *kcranswer.Memory // of the responses that are read before they are sent
 	app            *fiber.App
 	admin          *kcrdaemon.Admin
 	metrics        *metrics
@@ -88,6 +90,7 @@
 		pool:           c.Pool,
 		retryBucket:    kcrroute.NewRetryBucket(),
 		crashSuspects:  newCrashSuspects(),
+		answers:        kcranswer.NewMemory(),
 		metrics:        newMetrics(c.Metrics),
 		intentOffsets:  map[kcrid.Service]kcrid.Offset{},
 	}
--- a/sidecar/kcrsidecar/once.go
+++ b/sidecar/kcrsidecar/once.go
@@ -136,8 +136,9 @@
 	var status int
 	var contentType string
 	err := s.upstream.send(newUpstreamRequest(req), answerHandler{
-		head: func(answerStatus int, answerType string) { status, contentType = answerStatus, answerType },
-		data: func(data []byte) bool { body = append(body, data...); return len(body) <= maxAnswerBytes },
+		head:  func(answerStatus int, answerType string) { status, contentType = answerStatus, answerType },
+		data:  func(data []byte) error { body = append(body, data...); return nil },
+		keeps: true,
 	})
 	if errors.Is(err, errNotSent) {
 		return s.barNotSent(call)
--- a/sidecar/kcrsidecar/plain.go
+++ b/sidecar/kcrsidecar/plain.go
@@ -29,7 +29,7 @@
 func (s *Sidecar) forwardPlain(req *kcrwire.Start, frames *frameWriter) (err error) {
 	err = s.upstream.send(newUpstreamRequest(req), answerHandler{
 		head: func(status int, kind string) { err = frames.head(status, kind, 0, s.currentLoad()) },
-		data: func(data []byte) bool { return frames.data(data) == nil },
+		data: frames.data,
 	})
 	switch {
 	case errors.Is(err, errNotSent):
--- a/sidecar/kcrsidecar/run.go
+++ b/sidecar/kcrsidecar/run.go
@@ -179,8 +179,8 @@
 	metered := &meteredAnswer{sidecar: s, ctx: ctx, run: run, reservation: reserved, counter: tokenCounter{stream: req.GetStream()}, startedAt: s.clock.Now()}
 	err := s.upstream.send(upstreamRequest{
 		method: req.GetMethod(), path: req.GetPath(), contentType: req.GetType(), idempotencyKey: req.GetKey(), body: req.GetBody(), priority: req.GetRank(),
-	}, answerHandler{head: metered.head, data: metered.data})
-	tokens, ended := metered.counter.finish()
+	}, answerHandler{head: metered.head, data: metered.data, keeps: true})
+	tokens, ended := metered.counter.finish(run.answer.Body)
 	tokens = max(tokens, metered.charged)
 	if err := s.meter.Use(reserved.holder, reserved.id, tokens-metered.charged); err == nil {
 		metered.charged = tokens
@@ -195,6 +195,9 @@
 	if outcome == kcrbudget.Complete && isolated {
 		s.crashes.reportCleared(run.content)
 	}
+	if isTooLarge(err) {
+		run.answer.Discard(refusal)
+	}
 	acked := s.settler.enqueue(reserved, kcrbudget.Settlement{Call: run.call, Plan: kcrid.Plan(req.GetPlan()), Tokens: served, Outcome: outcome})
 	if outcome == kcrbudget.Complete {
 		s.awaitHomeAck(req, acked)
@@ -232,7 +235,7 @@
 		return kcrbudget.Broken, "cancelled", &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: "the caller left", MayHaveRun: true}
 	case metered.overBound:
 		return kcrbudget.Broken, "over", &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: "the upstream exceeded the bound of the request", MayHaveRun: true}
-	case isMalformed(err):
+	case isMalformed(err), isTooLarge(err):
 		return kcrbudget.Broken, "malformed", &kcrerror.Refusal{Code: kcrerror.AnswerBroken, Text: brokenAnswerText(err), MayHaveRun: true}
 	case err != nil || !ended:
 		return kcrbudget.Broken, "crashed", &kcrerror.Refusal{Code: kcrerror.UpstreamCrashed, Text: "the upstream broke the answer off", MayHaveRun: true}
@@ -271,23 +274,29 @@
 }
 
 // data charges the tokens of the next part and appends the part to the answer buffer. It
-// returns false if the caller has left or if the reservation does not cover the part.
-func (a *meteredAnswer) data(data []byte) bool {
+// returns an error if the caller has left, if the reservation does not cover the part, or if
+// an event does not end.
+func (a *meteredAnswer) data(data []byte) error {
 	if a.rejected {
-		return true
+		return nil
 	}
-	if a.ctx.Err() != nil {
-		return false
+	if err := a.ctx.Err(); err != nil {
+		return err
 	}
 	a.reportTiming()
 	added := a.counter.add(data)
-	if added > 0 && a.sidecar.meter.Use(a.reservation.holder, a.reservation.id, added) != nil {
-		a.overBound = true
-		return false
+	if a.counter.isTooLarge() {
+		return errEventTooLarge
+	}
+	if added > 0 {
+		if err := a.sidecar.meter.Use(a.reservation.holder, a.reservation.id, added); err != nil {
+			a.overBound = true
+			return err
+		}
 	}
 	a.charged += added
 	a.run.answer.Add(data)
-	return true
+	return nil
 }
 
 // reportTiming reports to the limiter the time to the first part, or the time since
--- a/sidecar/kcrsidecar/upstream.go
+++ b/sidecar/kcrsidecar/upstream.go
@@ -1,16 +1,17 @@
 package kcrsidecar
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"kingcuprun.example/kernel/kcranswer"
 	"kingcuprun.example/kernel/kcrid"
 	"kingcuprun.example/link/kcrhttp"
 )
@@ -24,12 +25,15 @@
 	errNotSent = errors.New("request not sent: cannot connect to the upstream")
 	// errIncomplete reports an answer that stopped before its end.
 	errIncomplete = errors.New("the upstream broke the answer off")
+	// errEventTooLarge reports a stream with an event of more than maxEventBytes.
+	errEventTooLarge = fmt.Errorf("an event is larger than %d bytes", maxEventBytes)
 )
 
 const (
 	upstreamDialTimeout = 300 * time.Millisecond
 	upstreamReadTimeout = 60 * time.Second
-	maxAnswerBytes      = 8 << 20
+	// maxEventBytes is the maximum size of an event of a stream.
+	maxEventBytes = 64 << 10
 	// eventSeparator ends each event of a server-sent event stream.
 	eventSeparator = "\n\n"
 )
@@ -38,15 +42,15 @@
 type upstreamClient struct {
 	addr   string
 	client *fasthttp.Client
+	memory *kcranswer.Memory // of the answers that arrive
 }
 
 // newUpstreamClient returns a client that never repeats a request.
 func newUpstreamClient(addr string) *upstreamClient {
-	return &upstreamClient{addr: addr, client: &fasthttp.Client{
+	return &upstreamClient{addr: addr, memory: kcranswer.NewMemory(), client: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		StreamResponseBody:        true,
-		MaxResponseBodySize:       maxAnswerBytes,
 		ReadTimeout:               upstreamReadTimeout,
 		MaxConnsPerHost:           4096,
 		Dial: func(a string) (net.Conn, error) {
@@ -70,10 +74,11 @@
 }
 
 // answerHandler receives an answer while it arrives: head once, then data for
-// each part of the body. If data returns false, reading stops with errIncomplete.
+// each part of the body. If data returns an error, reading stops with errIncomplete.
 type answerHandler struct {
-	head func(status int, kind string)
-	data func([]byte) bool
+	head  func(status int, kind string)
+	data  func([]byte) error
+	keeps bool // it keeps what it has received until the end of the answer
 }
 
 // isMalformed reports whether an answer broke the protocol in its head. An upstream that sends
@@ -83,11 +88,20 @@
 	return errors.As(err, &malformed)
 }
 
+// isTooLarge reports whether an answer was given up because of its size. An upstream that sends too
+// much still runs.
+func isTooLarge(err error) bool {
+	return errors.Is(err, kcranswer.ErrTooLarge) || errors.Is(err, kcranswer.ErrNoMemory) || errors.Is(err, errEventTooLarge)
+}
+
 // brokenAnswerText returns the text for callers about an answer that is not whole. It quotes
 // nothing of the answer, which may belong to another caller.
 func brokenAnswerText(err error) string {
-	if isMalformed(err) {
+	switch {
+	case isMalformed(err):
 		return "the upstream broke the protocol"
+	case isTooLarge(err):
+		return "the answer of the upstream is too large"
 	}
 	return "the upstream broke the answer off"
 }
@@ -111,26 +125,37 @@
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 	handler.head(resp.StatusCode(), string(resp.Header.ContentType()))
-	return forwardBody(resp, handler)
+	body, ok := resp.BodyStream().(fasthttp.ReadCloserWithError)
+	if !ok { // the answer can't have a body
+		return handler.data(resp.Body())
+	}
+	return c.forwardBody(body, handler)
 }
 
 // forwardBody reads the body to its end and passes each part to the handler.
-func forwardBody(resp *fasthttp.Response, handler answerHandler) error {
-	body := resp.BodyStream()
-	if body == nil {
-		handler.data(resp.Body())
-		return nil
+func (c *upstreamClient) forwardBody(body fasthttp.ReadCloserWithError, handler answerHandler) error {
+	share := c.memory.Open(func() { _ = body.CloseWithError(kcranswer.ErrNoMemory) })
+	defer share.Close()
+	count := share.Pass
+	if handler.keeps {
+		count = share.Keep
 	}
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := body.Read(buf)
-		if n > 0 && !handler.data(buf[:n]) {
-			return errIncomplete
+		if n > 0 {
+			handlerErr := count(n)
+			if handlerErr == nil {
+				handlerErr = handler.data(buf[:n])
+			}
+			if handlerErr != nil {
+				return errors.Join(errIncomplete, handlerErr)
+			}
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return errors.Join(errIncomplete, err)
 		}
 	}
@@ -147,20 +172,23 @@
 // of a stream counts as one token until the usage report gives the exact number.
 type tokenCounter struct {
 	stream        bool
-	unparsed      []byte
+	unparsed      []byte // of a stream: the event that has not ended
 	events        kcrid.Tokens
 	reportedTotal kcrid.Tokens
 	hasTotal      bool
 	sawDone       bool
 }
 
+// isTooLarge reports whether a stream holds an event that does not end.
+func (c *tokenCounter) isTooLarge() bool { return len(c.unparsed) > maxEventBytes }
+
 // add takes the next part of the body and returns how many tokens it adds to
 // those counted before. Without streaming, tokens are counted in finish only.
 func (c *tokenCounter) add(data []byte) (added kcrid.Tokens) {
-	c.unparsed = append(c.unparsed, data...)
 	if !c.stream {
 		return 0
 	}
+	c.unparsed = append(c.unparsed, data...)
 	before := c.tokens()
 	for {
 		i := bytes.Index(c.unparsed, []byte(eventSeparator))
@@ -175,14 +203,10 @@
 
 // parseEvent counts the data lines of one event.
 func (c *tokenCounter) parseEvent(event []byte) {
-	scanner := bufio.NewScanner(bytes.NewReader(event))
-	scanner.Buffer(nil, maxAnswerBytes)
-	for scanner.Scan() {
-		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
-		if !ok {
-			continue
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			c.parseData(bytes.TrimSpace(data))
 		}
-		c.parseData(bytes.TrimSpace(data))
 	}
 }
 
@@ -217,11 +241,11 @@
 	return c.events
 }
 
-// finish returns the tokens of the answer and whether the answer is complete: a
+// finish returns the tokens of the answer with a body and whether the answer is complete: a
 // stream must have ended with its end marker, another answer must report usage.
-func (c *tokenCounter) finish() (total kcrid.Tokens, complete bool) {
+func (c *tokenCounter) finish(body func() []byte) (total kcrid.Tokens, complete bool) {
 	if !c.stream {
-		c.parseUsage(c.unparsed)
+		c.parseUsage(body())
 		return c.tokens(), c.hasTotal
 	}
 	return c.tokens(), c.sawDone
