Gateway: a stream does not go on at an engine that has started again

At a router that was cut off from the store, streams that had begun at one software version went on at another: an engine had started again, under its ID, as a newer one. Streams that began there were noted under the old version, and went on at it at routers in step.

Cause: a connection was taken for one to the engine that the entry describes, however old the entry was.

The plain shape of the report (engines of a newer version join under IDs of their own, their streams break and are taken up at a router that is out of step) did not show: the router finds the version at its peers and refuses what it has no engine for.

Evidence: TestRouterOutOfStepDoesNotJoinRestartedEngine failed before the change: 24 of 48 streams that had begun in step and 24 of 48 that had begun out of step held both versions. Now none does, and both versions' streams go on.

Change: while the list of engines is more than a second old, by the clock that counts the time of a suspended machine, a router asks for an engine's report on a connection before the first stream on it, and compares the start that it tells. An attempt that sent nothing takes nothing from the retry budget. The fake engines of the tests answer for their report, which is no run.

--- a/router/kcrgateway/attempt.go
+++ b/router/kcrgateway/attempt.go
@@ -41,6 +41,9 @@
 	unreachable  bool                 // the upstream was given up since it accepts no connection
 	ended        bool                 // end was called
 
+	versionUnknown bool // the upstream may be of another version than the list says
+	unsent         bool // nothing of the request is sent, as the version of the upstream is not known
+
 	permitExpires kcrclock.Time // when the permit may no longer be used, 0 without one
 }
 
@@ -129,6 +132,10 @@
 		a.end(kcrplacement.CallerLeft, reason)
 		return a, stateNotRun, reason
 	}
+	if result, reason := a.checkVersion(); reason != "" {
+		a.end(result, reason)
+		return a, stateNotRun, reason
+	}
 	request := x.buildRequest(a.choice, lastEventID)
 	if a.permitExpires > 0 && x.gateway.clock.Now() > a.permitExpires {
 		a.end(kcrplacement.Refused, reasonPermitExpired)
@@ -383,7 +390,7 @@
 	if lostReused {
 		reason += ", on a kept connection"
 	}
-	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started)})
+	x.attempts = append(x.attempts, attemptRecord{vm: a.choice.ID, result: result, reason: reason, uncachedTokens: a.choice.UncachedTokens, endedAfter: now.Sub(x.started), unsent: a.unsent})
 	a.checkUpstream(now, result)
 }
 
--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -87,6 +87,10 @@
 	// FindOrigin returns the version that began the stream of such a request, on this or another
 	// router. It may block for a moment.
 	FindOrigin func(request string) (version string, known bool)
+	// UpstreamsAreCurrent reports whether the list of upstreams is that of a moment ago. While it is
+	// not, upstreams are asked for reports.
+	UpstreamsAreCurrent func() bool
+	Report              UpstreamReport
 	// OnLeaving is called with each upstream that says in a response that it leaves.
 	OnLeaving func(kcrid.Incarnation)
 	// OnCrash is called with each crash that Crashes counts.
--- a/router/kcrgateway/plain.go
+++ b/router/kcrgateway/plain.go
@@ -129,11 +129,11 @@
 }
 
 // takeRetry counts another attempt against the retry budget of the service, and reports
-// whether the budget allows it. An attempt that could not connect is repeated without
+// whether the budget allows it. An attempt that sent nothing of the request is repeated without
 // using that budget.
 func (x *exchange) takeRetry() bool {
 	last := x.attempts[len(x.attempts)-1]
-	if last.result == kcrplacement.Unreachable {
+	if last.result == kcrplacement.Unreachable || last.unsent {
 		return true
 	}
 	allowed := x.holdRetry()
--- a/router/kcrgateway/response.go
+++ b/router/kcrgateway/response.go
@@ -168,6 +168,7 @@
 	uncachedTokens kcrid.Tokens      // prompt tokens expected to be missing in the upstream's cache
 	reason         string            // of a result other than success
 	endedAfter     kcrclock.Duration // since the start of the exchange
+	unsent         bool              // the upstream was connected, and got nothing of the request
 }
 
 // logRequest writes the log line of the request and updates the metrics.
--- a/router/kcrgateway/stream.go
+++ b/router/kcrgateway/stream.go
@@ -289,7 +289,7 @@
 	}
 	a.events += x.deliveredEvents - delivered
 	if !x.begun {
-		x.begun, x.version = true, a.choice.Version
+		x.begun, x.version = true, a.version()
 		x.gateway.config.NoteOrigin(x.id, x.version)
 	}
 	c := x.caller
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -49,6 +49,7 @@
 	// ParseRules parses the configuration in the operator's format.
 	ParseRules   func([]byte) (*kcrrule.Rules, error)
 	HeaderNames  kcrgateway.HeaderNames
+	Report       kcrgateway.UpstreamReport
 	Log          kcrlog.Log
 	Clock        kcrclock.Clock
 	BootClock    kcrbudget.BootClock // clock since the boot of the machine
@@ -109,6 +110,8 @@
 	pool              *kcrlink.Pool
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
+	bootClock         kcrbudget.BootClock
+	entriesReadAt     atomic.Int64 // of bootClock, when the list of upstreams was that of the store
 	configUnavailable atomic.Bool  // the store does not provide the configuration
 	configDoubts      atomic.Int32 // peers to ask whether they have a newer configuration than the store
 	bansLost          atomic.Bool  // the peer stream may lack records of bans
@@ -171,6 +174,7 @@
 		pool:          kcrlink.NewPool(),
 		coldBounds:    c.ColdBounds,
 		parseRules:    c.ParseRules,
+		bootClock:     c.BootClock,
 	}
 	n.crashesLearned = make(chan struct{})
 	n.markLearned = sync.OnceFunc(func() { close(n.crashesLearned) })
@@ -186,6 +190,7 @@
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared, AwaitCrashes: n.awaitCrashes,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
+		UpstreamsAreCurrent: n.upstreamsAreCurrent, Report: c.Report,
 		LinkBytesPerSecond: c.LinkBytes,
 		Budget:             kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
 	})
@@ -276,9 +281,25 @@
 
 // StoreResponded records that the store has answered a query for the entries of upstreams.
 func (n *Node) StoreResponded() {
-	now := n.clock.Now()
-	n.fleet.StoreResponded(now)
-	n.relay.recordStoreRead(now)
+	n.relay.recordStoreRead(n.clock.Now())
+	n.recordCurrent()
+}
+
+// recordCurrent records that the list of upstreams is that of the store.
+func (n *Node) recordCurrent() {
+	n.fleet.StoreResponded(n.clock.Now())
+	n.entriesReadAt.Store(int64(n.bootClock.Now()))
+}
+
+// maxEntryAge is the age up to which the list of upstreams counts as current. It is longer than the
+// store holds a read.
+const maxEntryAge = kcrclock.Second
+
+// upstreamsAreCurrent reports whether the list of upstreams is that of a moment ago. The clock
+// counts the time in which the machine was suspended.
+func (n *Node) upstreamsAreCurrent() bool {
+	age := n.bootClock.Now().Sub(kcrclock.Time(n.entriesReadAt.Load()))
+	return n.entriesReadAt.Load() > 0 && age <= maxEntryAge && !n.fleet.StoreIsLost()
 }
 
 // ReadsEntries reports whether the entries of upstreams are to be read from the store.
--- a/router/kcrnode/relay.go
+++ b/router/kcrnode/relay.go
@@ -122,7 +122,7 @@
 	defer r.mu.Unlock()
 	r.watch.Hear(now, equal)
 	if r.relies {
-		r.node.fleet.StoreResponded(now)
+		r.node.recordCurrent()
 	}
 }
 
