Tests: callers of a stopping gateway close their connections

Cause: lateCaller kept every connection that it had opened until its end. Change: a caller closes its connection before it opens another. What is checked stays.

--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -198,14 +198,16 @@
 func (c lateCaller) run(until time.Time) (unanswered []string, answered int) {
 	var conn net.Conn
 	var reader *bufio.Reader
+	last := io.NopCloser(nil) // the connection that was opened last
+	defer func() { _ = last.Close() }()
 	for time.Now().Before(until) {
 		if conn == nil || !c.kept {
+			_ = last.Close()
 			dialed, err := net.Dial("tcp", c.gw.gateway.Addr())
 			if err != nil {
 				return unanswered, answered
 			}
-			defer func() { _ = dialed.Close() }()
-			conn = dialed
+			conn, last = dialed, dialed
 			_ = conn.SetDeadline(until.Add(5 * time.Second))
 			reader = bufio.NewReader(conn)
 		}
