VM list: an odd entry takes no other one with it

Cause: on our own interface the list was decoded as a whole, so one entry with a field of another type, a number too large or too deep a nesting kept all processes on the list that they had; an entry with a port out of range was used. Change: each entry is decoded by itself, and skipped if it is odd; a log line tells how many were.

--- a/link/kcrdaemon/vm_list_cache.go
+++ b/link/kcrdaemon/vm_list_cache.go
@@ -79,6 +79,9 @@
 	if list.Version == version {
 		return
 	}
+	if list.Skipped > 0 {
+		c.logger.Warn("entries of the VM list ignored", "version", list.Version, "count", list.Skipped)
+	}
 	c.mu.Lock()
 	c.version, c.vms = list.Version, list.VMs
 	c.mu.Unlock()
--- a/link/kcrplatform/platform.go
+++ b/link/kcrplatform/platform.go
@@ -4,6 +4,7 @@
 package kcrplatform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -49,28 +50,6 @@
 	Data   []byte       `json:"data"`
 }
 
-// VMList is the body of the response to a request for the VM list. If the request names
-// the current version, VMs is empty.
-type VMList struct {
-	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
-}
-
-// VM is an entry of the VM list. Addr has the form ip:port. State is "live" or
-// "leaving".
-type VM struct {
-	Name    kcrid.VM      `json:"name"`
-	Addr    string        `json:"addr"`
-	Zone    kcrid.Zone    `json:"zone"`
-	Region  kcrid.Region  `json:"region"`
-	Service kcrid.Service `json:"service"`
-	State   string        `json:"state"`
-}
-
-// StateLeaving is the state of a VM that the platform will stop; it must get no new
-// requests.
-const StateLeaving = "leaving"
-
 const (
 	requestTimeout = 2 * time.Second
 	maxResponse    = 64 << 20 // bytes
@@ -111,38 +90,44 @@
 	return kcrlog.Log{Append: c.append, Read: c.read}
 }
 
-// do sends a request with the JSON encoding of body, unless body is nil, and decodes the
-// JSON response into result, unless result is nil. It returns an error if the status is
-// not 200, or after timeout or the deadline of the context, whichever is earlier.
+// do sends a request like fetch, and decodes the JSON response into result, unless result is nil.
 func (c *Client) do(ctx context.Context, method, uri string, body, result any, timeout time.Duration) (err error) {
+	data, err := c.fetch(ctx, method, uri, body, timeout)
+	if err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+// fetch sends a request with the JSON encoding of body, unless body is nil, and returns the body of
+// the response. It returns an error if the status is not 200, or after timeout or the deadline of
+// the context, whichever is earlier.
+func (c *Client) fetch(ctx context.Context, method, uri string, body any, timeout time.Duration) (data []byte, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(c.baseURL + uri)
 	req.Header.SetMethod(method)
 	if body != nil {
-		data, err := json.Marshal(body)
+		encoded, err := json.Marshal(body)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		req.SetBody(data)
+		req.SetBody(encoded)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline))
 	}
 	if err := ctx.Err(); err != nil {
-		return err
+		return nil, err
 	}
 	if err := c.httpClient.DoTimeout(req, resp, timeout); err != nil {
-		return err
+		return nil, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("expected status 200, got %d: %s", resp.StatusCode(), resp.Body())
-	}
-	if result == nil {
-		return nil
+		return nil, fmt.Errorf("expected status 200, got %d: %.200s", resp.StatusCode(), resp.Body())
 	}
-	return json.Unmarshal(resp.Body(), result)
+	return bytes.Clone(resp.Body()), nil
 }
 
 // append implements kcrlog.Log.Append.
@@ -174,8 +159,11 @@
 func (c *Client) VMs(ctx context.Context, version uint64) (list VMList, err error) {
 	defer kcrerror.Annotate(&err, "read the VM list")
 	uri := VMListPath + "?version=" + strconv.FormatUint(version, 10)
-	err = c.do(ctx, fasthttp.MethodGet, uri, nil, &list, requestTimeout)
-	return list, err
+	data, err := c.fetch(ctx, fasthttp.MethodGet, uri, nil, requestTimeout)
+	if err != nil {
+		return list, err
+	}
+	return decodeVMList(data)
 }
 
 // ToUpstreams converts the entries of a VM list to the upstreams of package kcrroute.
