Sidecar: an answer that loses its memory is no crash, and its end comes last

The largest answer is ended by closing its body, and the read then failed with another error, so the run counted as a crash of its upstream; two such ban the request. Discard ended the answer before its run was out of the table, so a router that tries again at once could have joined it. Change: the error of the share goes first; Discard drops the parts alone. Measured: tests of kcranswer; TestEndlessAnswersFillNoMemory and the histories of kcrrig pass. No test shows the ban: it needs a silent upstream with the largest of many answers.

--- a/kernel/kcranswer/answer_buffer.go
+++ b/kernel/kcranswer/answer_buffer.go
@@ -71,9 +71,8 @@
 	b.signal()
 }
 
-// Discard drops the answer so far, of which readers get no more, and ends it with an error.
-func (b *AnswerBuffer) Discard(err error) {
-	b.End(0, err)
+// Discard drops the answer so far. Readers get no more of it; nothing may be added afterwards.
+func (b *AnswerBuffer) Discard() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.parts = nil
--- a/kernel/kcranswer/memory.go
+++ b/kernel/kcranswer/memory.go
@@ -96,6 +96,16 @@
 	return nil
 }
 
+// Err returns ErrNoMemory if the answer has to end, else nil.
+func (s *Share) Err() error {
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
+	if s.isOut {
+		return ErrNoMemory
+	}
+	return nil
+}
+
 // Close ends an answer. What is kept of it does not count any more.
 func (s *Share) Close() {
 	s.memory.mu.Lock()
--- a/kernel/kcranswer/memory_test.go
+++ b/kernel/kcranswer/memory_test.go
@@ -65,8 +65,10 @@
 		}
 		select {
 		case <-ended:
-			if err := largest.Keep(1); !errors.Is(err, kcranswer.ErrNoMemory) {
-				t.Errorf("expected %v, got %v", kcranswer.ErrNoMemory, err)
+			for _, err := range []error{largest.Keep(1), largest.Err()} {
+				if !errors.Is(err, kcranswer.ErrNoMemory) {
+					t.Errorf("expected %v, got %v", kcranswer.ErrNoMemory, err)
+				}
 			}
 			return
 		case <-time.After(10 * time.Millisecond):
--- a/router/kcrrouter/response.go
+++ b/router/kcrrouter/response.go
@@ -1,6 +1,7 @@
 package kcrrouter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -209,13 +210,13 @@
 	defer share.Close()
 	for {
 		data, err := resp.next(ctx)
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			return body, nil
+		case err != nil:
+			return nil, cmp.Or(share.Err(), err)
 		}
-		if err == nil {
-			err = share.Keep(len(data))
-		}
-		if err != nil {
+		if err := share.Keep(len(data)); err != nil {
 			return nil, err
 		}
 		body = append(body, data...)
--- a/sidecar/kcrsidecar/run.go
+++ b/sidecar/kcrsidecar/run.go
@@ -180,6 +180,9 @@
 	err := s.upstream.send(upstreamRequest{
 		method: req.GetMethod(), path: req.GetPath(), contentType: req.GetType(), idempotencyKey: req.GetKey(), body: req.GetBody(), priority: req.GetRank(),
 	}, answerHandler{head: metered.head, data: metered.data, keeps: true})
+	if isTooLarge(err) {
+		run.answer.Discard()
+	}
 	tokens, ended := metered.counter.finish(run.answer.Body)
 	tokens = max(tokens, metered.charged)
 	if err := s.meter.Use(reserved.holder, reserved.id, tokens-metered.charged); err == nil {
@@ -195,9 +198,6 @@
 	if outcome == kcrbudget.Complete && isolated {
 		s.crashes.reportCleared(run.content)
 	}
-	if isTooLarge(err) {
-		run.answer.Discard(refusal)
-	}
 	acked := s.settler.enqueue(reserved, kcrbudget.Settlement{Call: run.call, Plan: kcrid.Plan(req.GetPlan()), Tokens: served, Outcome: outcome})
 	if outcome == kcrbudget.Complete {
 		s.awaitHomeAck(req, acked)
--- a/sidecar/kcrsidecar/upstream.go
+++ b/sidecar/kcrsidecar/upstream.go
@@ -156,7 +156,7 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
-			return errors.Join(errIncomplete, err)
+			return errors.Join(errIncomplete, share.Err(), err)
 		}
 	}
 }
