--- a/bench/kcrrig/broken_answer_test.go
+++ b/bench/kcrrig/broken_answer_test.go
@@ -46,8 +46,10 @@
 		}
 	}
 	return []request{
-		{"completion", wholeCompletion, chat(false)}, {"stream", wholeStream, chat(true)},
-		{"idempotent", wholeCompletion, plain(http.MethodGet)}, {"once", wholeCompletion, plain(http.MethodPost)},
+		{"completion", wholeCompletion, chat(false)},
+		{"stream", wholeStream, chat(true)},
+		{"idempotent", wholeCompletion, plain(http.MethodGet)},
+		{"once", wholeCompletion, plain(http.MethodPost)},
 	}
 }
 
--- a/link/kcrplatform/vm_list.go
+++ b/link/kcrplatform/vm_list.go
@@ -93,27 +93,42 @@
 		return nil, fmt.Errorf("expected a value in %c%c, got %.20q", open, open+2, data)
 	}
 	data = data[1 : len(data)-1]
-	start, depth, inString := 0, 0, false
-	for i := 0; i < len(data); i++ {
-		switch c := data[i]; {
-		case inString && c == '\\':
-			i++
-		case c == '"':
-			inString = !inString
-		case inString:
-		case c == '[' || c == '{':
-			depth++
-		case c == ']' || c == '}':
-			depth--
-		case c == ',' && depth == 0:
+	if len(bytes.TrimSpace(data)) == 0 {
+		return nil, nil
+	}
+	var s scanner
+	start := 0
+	for i, c := range data {
+		if s.next(c); c == ',' && s == (scanner{}) {
 			parts, start = append(parts, data[start:i]), i+1
 		}
 	}
-	if inString || depth != 0 {
+	if s != (scanner{}) {
 		return nil, errors.New("expected brackets and quotes in pairs")
 	}
-	if rest := data[start:]; len(parts) > 0 || len(bytes.TrimSpace(rest)) > 0 {
-		parts = append(parts, rest)
+	return append(parts, data[start:]), nil
+}
+
+// scanner tells where in a value a byte is. It is the zero value outside all strings and brackets.
+type scanner struct {
+	depth     int // open brackets
+	inString  bool
+	isEscaped bool // a backslash is before the next byte of a string
+}
+
+// next takes the next byte.
+func (s *scanner) next(c byte) {
+	switch {
+	case s.isEscaped:
+		s.isEscaped = false
+	case s.inString && c == '\\':
+		s.isEscaped = true
+	case c == '"':
+		s.inString = !s.inString
+	case s.inString:
+	case c == '[' || c == '{':
+		s.depth++
+	case c == ']' || c == '}':
+		s.depth--
 	}
-	return parts, nil
 }
--- a/router/kcrgateway/malformed_head_test.go
+++ b/router/kcrgateway/malformed_head_test.go
@@ -73,15 +73,20 @@
 		}
 	}
 	head, body, err := roundTrip(t, gw, path, "")
-	runsAgain := path == "/safe/" || path == "/resume/"
-	switch {
-	case err != nil:
-		t.Errorf("expected an answer, got %v", err)
-	case strings.Contains(body, "for") || len(head.Fields) == 0 || head.Has("X-A") || head.Has("X-B"):
+	if err != nil {
+		t.Fatalf("expected an answer, got %v", err)
+	}
+	if strings.Contains(body, "for") || len(head.Fields) == 0 || head.Has("X-A") || head.Has("X-B") {
 		t.Errorf("expected nothing of the upstream's bytes, got %+v %q", head, body)
-	case runsAgain && path == "/safe/" && (head.Status != 200 || body != "fine"):
-		t.Errorf("expected the answer of the other upstream, got %+v %q", head, body)
-	case !runsAgain && head.Status != 502:
-		t.Errorf("expected 502, got %+v %q", head, body)
+	}
+	want, wantBody := 502, ""
+	switch path {
+	case "/safe/":
+		want, wantBody = 200, "fine"
+	case "/resume/":
+		want = head.Status // no answer here is a stream
+	}
+	if head.Status != want || wantBody != "" && body != wantBody {
+		t.Errorf("expected status %d %q, got %+v %q", want, wantBody, head, body)
 	}
 }
