Gateway: no report on connections that were used while the list was current

Cause: in each cut from the store every connection was asked for a report before its next stream. Ruled out: no report for streams that begin there. They would be noted under the old version, and go on at it (TestRouterOutOfStepDoesNotJoinRestartedEngine). Change: a connection that has carried a stream while the list was current leads to the start that the list told, for as long as it is open. Only others are asked.

--- a/router/kcrgateway/pool.go
+++ b/router/kcrgateway/pool.go
@@ -31,7 +31,7 @@
 	idleAt    kcrclock.Time     // when it was last put into the pool
 	keepAlive kcrclock.Duration // how long the upstream keeps it open while idle
 	reused    bool              // it was taken from the pool
-	startedAt int64             // when the upstream started, as it has told on the connection; 0 before, negative if it does not tell
+	startedAt int64             // when the upstream started, by a current list or its report; 0 if unknown, negative if it does not tell
 	pool      *pool
 	closed    atomic.Bool
 }
--- a/router/kcrgateway/version.go
+++ b/router/kcrgateway/version.go
@@ -12,8 +12,8 @@
 
 // This file asks an upstream when it started, while the list of upstreams may be out of date: one
 // that has started again may be of another version than the list says. It is asked on the
-// connection that then carries the stream, since a connection does not outlive its process.
-// Invariant: such a stream goes on only at an upstream that is known to be of its version.
+// connection that then carries the stream, since a connection does not outlive its process; so one
+// that has carried a stream while the list was current needs no report. Invariant: such a stream goes on only at an upstream that is known to be of its version.
 
 // UpstreamReport is how an upstream is asked when it started.
 type UpstreamReport struct {
@@ -43,9 +43,12 @@
 func (a *attempt) checkVersion() (result kcrplacement.Result, reason string) {
 	x, g := a.x, a.x.gateway
 	isVersioned := x.route.Kind == kcrrule.Stream && a.choice.Version != "" && a.choice.StartedAt > 0
-	if !isVersioned || g.config.Report.Path == "" || g.config.UpstreamsAreCurrent() {
+	if !isVersioned || g.config.Report.Path == "" {
 		return 0, ""
 	}
+	if g.config.UpstreamsAreCurrent() {
+		a.conn.startedAt = a.choice.StartedAt
+	}
 	if a.conn.startedAt == 0 {
 		body, err := a.readReport()
 		if err != nil {
