--- a/router/kcrgateway/version.go
+++ b/router/kcrgateway/version.go
@@ -13,7 +13,8 @@
 // This file asks an upstream when it started, while the list of upstreams may be out of date: one
 // that has started again may be of another version than the list says. It is asked on the
 // connection that then carries the stream, since a connection does not outlive its process; so one
-// that has carried a stream while the list was current needs no report. Invariant: such a stream goes on only at an upstream that is known to be of its version.
+// that has carried a stream while the list was current needs no report. Invariant: a stream that has
+// begun goes on only at an upstream that is known to be of its version.
 
 // UpstreamReport is how an upstream is asked when it started.
 type UpstreamReport struct {
