--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -113,6 +113,7 @@
 	bootClock         kcrbudget.BootClock
 	entriesReadAt     atomic.Int64 // of bootClock, when the list of upstreams was that of the store
 	configUnavailable atomic.Bool  // the store does not provide the configuration
+	unreadVersions    atomic.Int64 // records that the operator's topic holds beyond those read
 	configDoubts      atomic.Int32 // peers to ask whether they have a newer configuration than the store
 	bansLost          atomic.Bool  // the peer stream may lack records of bans
 	stopping          atomic.Bool
@@ -247,8 +248,9 @@
 }
 
 // ApplyConfig parses a version of the configuration and puts it in force if it is newer
-// than the current one. A version that is not newer is ignored without an error.
-func (n *Node) ApplyConfig(raw []byte) (err error) {
+// than the current one. A version that is not newer is ignored without an error. Source is
+// FromStore or the address of a peer.
+func (n *Node) ApplyConfig(raw []byte, source string) (err error) {
 	defer kcrerror.Annotate(&err, "configuration")
 	started := n.clock.Now()
 	r, err := n.parseRules(raw)
@@ -258,13 +260,13 @@
 	r.Source = raw
 	n.configuredAt.CompareAndSwap(0, int64(started))
 	if !n.rules.Apply(r) {
-		n.logger.Info("configuration ignored: not newer than the one in force", "version", r.Version, "inforce", n.rules.Rules().Version)
+		n.logger.Info("configuration ignored: not newer than the one in force", "version", r.Version, "inforce", n.rules.Rules().Version, "source", source)
 		return nil
 	}
 	n.updateUpstreams()
 	n.publishLimits()
 	n.logger.Info("configuration in force", "version", r.Version, "teams", len(r.Teams), "services", len(r.Services),
-		"bytes", len(raw), "ms", int64(n.clock.Now().Sub(started)))
+		"bytes", len(raw), "ms", int64(n.clock.Now().Sub(started)), "source", source)
 	return nil
 }
 
@@ -313,6 +315,10 @@
 // it does, the node asks its peers for it.
 func (n *Node) SetConfigUnavailable(unavailable bool) { n.configUnavailable.Store(unavailable) }
 
+// RecordUnreadVersions records how many records of the operator's topic the store holds beyond
+// those that it has returned.
+func (n *Node) RecordUnreadVersions(count int64) { n.unreadVersions.Store(count) }
+
 // DoubtConfig tells that the store may provide an older configuration than it has before. The
 // node asks some of its peers for a newer one.
 func (n *Node) DoubtConfig() { n.configDoubts.Store(doubtedFetches) }
@@ -514,6 +520,7 @@
 		}
 		return 0
 	})
+	gauge("kcr_config_unread", "Records of the operator's topic that the last response of the store left unread.", func() float64 { return float64(n.unreadVersions.Load()) })
 	gauge("kcr_escrow_free_tokens", "Tokens held and not reserved.", func() (sum float64) {
 		if rules := n.rules.Rules(); rules != nil {
 			for i := range rules.Teams {
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -186,7 +186,7 @@
 	if n.fleet.AdoptFromPeer(state.Members) {
 		n.logger.Info("members learned from a peer", "peer", addr, "members", len(state.Members))
 	}
-	if err := n.ApplyConfig(state.Config); err != nil {
+	if err := n.ApplyConfig(state.Config, addr); err != nil {
 		n.logger.Warn("configuration of a peer ignored", "peer", addr, "err", err.Error())
 		return
 	}
--- a/router/kcrnode/zones.go
+++ b/router/kcrnode/zones.go
@@ -53,13 +53,13 @@
 	return d.shut[offer{service, version}]
 }
 
-// fromStore is the source of orders that were read from the store.
-const fromStore = "store"
+// FromStore is the source of what was read from the store. Other sources are addresses of peers.
+const FromStore = "store"
 
 // EmptyZone applies the record of the store that empties a zone.
 func (n *Node) EmptyZone(era uint64, offset int64, zone kcrid.Zone) {
 	if n.zones.orders.Put(era, offset, zone) {
-		n.zoneChanged(kcrzone.Order{Zone: zone, Era: era, At: offset}, fromStore)
+		n.zoneChanged(kcrzone.Order{Zone: zone, Era: era, At: offset}, FromStore)
 		n.updateUpstreams()
 	}
 }
@@ -67,7 +67,7 @@
 // TakeBackZone applies the record of the store that takes back the order that empties a zone.
 func (n *Node) TakeBackZone(era uint64, offset int64, zone kcrid.Zone) {
 	if n.zones.orders.TakeBack(era, offset, zone) {
-		n.zoneChanged(kcrzone.Order{Zone: zone, Era: era, At: offset, Ended: true}, fromStore)
+		n.zoneChanged(kcrzone.Order{Zone: zone, Era: era, At: offset, Ended: true}, FromStore)
 		n.updateUpstreams()
 	}
 }
@@ -77,7 +77,7 @@
 func (n *Node) ApplyZoneList(era uint64, end int64, listed map[kcrid.Zone]bool) {
 	ended := n.zones.orders.List(era, end, listed)
 	for _, zone := range ended {
-		n.zoneChanged(kcrzone.Order{Zone: zone, Era: era, At: end, Ended: true}, fromStore)
+		n.zoneChanged(kcrzone.Order{Zone: zone, Era: era, At: end, Ended: true}, FromStore)
 	}
 	if len(ended) > 0 {
 		n.updateUpstreams()
