--- a/router/kcrgateway/malformed_head_test.go
+++ b/router/kcrgateway/malformed_head_test.go
@@ -74,15 +74,7 @@
 // troubled upstream.
 func sendMalformed(t *testing.T, h malformedHead, path string, kept bool) (reached bool) {
 	t.Helper()
-	var malformedCount atomic.Int64
-	troubled := newUpstream(t, "troubled", func(_ int, req request, conn net.Conn) bool {
-		if req.head.Get("X-Sound") != "" {
-			return respond(conn, req.id(), "200 OK", "", "fine")
-		}
-		malformedCount.Add(1)
-		_, _ = io.WriteString(conn, fmt.Sprintf(h.head, req.id())+"forged")
-		return true
-	})
+	troubled, malformedCount := newTroubledUpstream(t, h)
 	sound := newUpstream(t, "sound", respondOK)
 	gw := newTestGateway(t, troubled, sound)
 	gw.placeNearAndFar(troubled, sound)
@@ -110,3 +102,18 @@
 	}
 	return malformedCount.Load() > 0
 }
+
+// newTroubledUpstream returns an upstream whose answers have a malformed head, but for requests that
+// ask for a sound one, and the number of those answers.
+func newTroubledUpstream(t *testing.T, h malformedHead) (troubled *upstream, malformedCount *atomic.Int64) {
+	t.Helper()
+	malformedCount = &atomic.Int64{}
+	return newUpstream(t, "troubled", func(_ int, req request, conn net.Conn) bool {
+		if req.head.Get("X-Sound") != "" {
+			return respond(conn, req.id(), "200 OK", "", "fine")
+		}
+		malformedCount.Add(1)
+		_, _ = io.WriteString(conn, fmt.Sprintf(h.head, req.id())+"forged")
+		return true
+	}), malformedCount
+}
