Node: the end of a relay does not race with its start

Kill reads the follower of relays while a tick may set it, and a tick that comes after could start one that nobody ends. Only tests kill a node: callers saw nothing. Seen as a data race in one of six copies of the tests of platform, beside five processes of sha256sum /dev/zero, once tests kill their routers: write in relay.tick, read in relay.close.

Change: a mutex of their own guards the follower and whether the relay is closed; a closed relay follows nothing. It can't be the relay's other mutex: the follower asks for an offset under it as it starts.

--- a/router/kcrnode/relay.go
+++ b/router/kcrnode/relay.go
@@ -19,9 +19,12 @@
 
 // relay is the part of a node that tells other routers of upstreams, or hears of them.
 type relay struct {
-	node     *Node
-	follower *kcrdaemon.Follower // nil until the fleet is large; set by tick
-	start    func() *kcrdaemon.Follower
+	node  *Node
+	start func() *kcrdaemon.Follower
+
+	followMu sync.Mutex          // guards follower, which only tick sets, and closed
+	follower *kcrdaemon.Follower // nil until the fleet is large
+	closed   bool
 
 	mu            sync.Mutex
 	at            kcrid.Offset // offset of the last record applied
@@ -153,15 +156,23 @@
 	r.storeReadAt = now
 }
 
+// follow follows the stream once the fleet is large, and reports whether it does.
+func (r *relay) follow() bool {
+	r.followMu.Lock()
+	defer r.followMu.Unlock()
+	routers, upstreams := r.node.knownRouters(), r.node.fleet.Len()
+	if r.follower == nil && !r.closed && routers*upstreams > r.maxDirectRead {
+		r.follower = r.start()
+		r.node.logger.Info("the fleet is large: a few routers read all entries and tell the others", "routers", routers, "upstreams", upstreams)
+	}
+	return r.follower != nil
+}
+
 // tick decides whether this router is a relay, tells what has changed if it is one, and
 // decides whether it relies on relays.
 func (r *relay) tick(now kcrclock.Time) {
-	if r.follower == nil {
-		if r.node.knownRouters()*r.node.fleet.Len() <= r.maxDirectRead {
-			return
-		}
-		r.follower = r.start()
-		r.node.logger.Info("the fleet is large: a few routers read all entries and tell the others", "routers", r.node.knownRouters(), "upstreams", r.node.fleet.Len())
+	if !r.follow() {
+		return
 	}
 	isRelay := r.node.peers.Rank(now, string(kcrid.FleetStream)) < kcrfleet.RelayCount
 	r.mu.Lock()
@@ -225,6 +236,9 @@
 
 // close stops the following of the stream.
 func (r *relay) close() {
+	r.followMu.Lock()
+	defer r.followMu.Unlock()
+	r.closed = true
 	if r.follower != nil {
 		r.follower.Close()
 	}
