--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -169,7 +169,6 @@
 	table    *kcrplacement.Table
 	registry *prometheus.Registry
 	crashes  *kcrcrash.Counter
-	log      warnings
 
 	takePermit atomic.Value // of type func(kcrid.Incarnation, kcrplacement.RateLimit) (bool, kcrclock.Duration)
 }
@@ -209,11 +208,11 @@
 
 func newTestGatewayWith(t *testing.T, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
 	t.Helper()
-	return newTestGatewayAt(t, "127.0.0.1:0", retries, upstreams...)
+	return newTestGatewayAt(t, "127.0.0.1:0", io.Discard, retries, upstreams...)
 }
 
-// newTestGatewayAt starts a gateway that listens on an address.
-func newTestGatewayAt(t *testing.T, addr string, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
+// newTestGatewayAt starts a gateway that listens on an address and writes its warnings to log.
+func newTestGatewayAt(t *testing.T, addr string, log io.Writer, retries kcrgateway.RetryLimits, upstreams ...*upstream) *testGateway {
 	t.Helper()
 	clock := kcrclock.Monotonic()
 	gw := &testGateway{registry: prometheus.NewRegistry(), budget: &fakeBudget{outcome: kcrbudget.Granted}, table: kcrplacement.New("z", kcrplacement.DefaultWeights()), crashes: kcrcrash.New(maxCrashes)}
@@ -238,7 +237,7 @@
 	}
 	gw.table.Update(clock.Now(), members)
 	g, err := kcrgateway.New(kcrgateway.Config{
-		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(&gw.log, &slog.HandlerOptions{Level: slog.LevelWarn})),
+		ListenAddr: addr, HeaderNames: headerNames(), Clock: clock, Logger: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelWarn})),
 		Metrics: gw.registry, Rules: rules, Upstreams: gw.table, Crashes: gw.crashes,
 		Budget:      kcrgateway.TeamBudget{Reserve: gw.budget.reserve, Settle: gw.budget.settle, StoreIsLost: gw.budget.storeIsLost.Load},
 		Retries:     retries,
--- a/router/kcrgateway/stop_test.go
+++ b/router/kcrgateway/stop_test.go
@@ -74,7 +74,7 @@
 		return respondOK(n, req, conn)
 	})
 	// No other test listens on this address, so a caller that comes late reaches nobody.
-	gw := newTestGatewayAt(t, "127.0.0.2:0", kcrgateway.RetryLimits{}, u)
+	gw := newTestGatewayAt(t, "127.0.0.2:0", io.Discard, kcrgateway.RetryLimits{}, u)
 	var conns [stopCallers]net.Conn
 	for i := range conns {
 		conns[i] = prepare(gw)
@@ -283,7 +283,8 @@
 		return respondOK(n, req, conn)
 	})
 	// No other test listens on this address, so a caller that comes late reaches nobody.
-	gw := newTestGatewayAt(t, "127.0.0.2:0", kcrgateway.RetryLimits{Window: 10000, RetryRatio: 1, ExtraRetries: 1e6, FirstStart: true}, u)
+	var log warnings
+	gw := newTestGatewayAt(t, "127.0.0.2:0", &log, kcrgateway.RetryLimits{Window: 10000, RetryRatio: 1, ExtraRetries: 1e6, FirstStart: true}, u)
 	began := time.Now()
 	var mu sync.Mutex
 	var callers sync.WaitGroup
@@ -314,7 +315,7 @@
 		if !ok {
 			continue
 		}
-		lines := gw.log.of(r.id())
+		lines := log.of(r.id())
 		if request.ranOut(lines) {
 			ranOut++
 			continue
