--- a/kernel/kcrbudget/claim.go
+++ b/kernel/kcrbudget/claim.go
@@ -74,6 +74,7 @@
 		Plan: string(p), Tokens: int64(want), Bound: bound.toEntry(),
 	}}})
 	ps.addSentBound(now, ps.claimSeq, bound)
+	w.confirms.sent(now, ps.claimSeq)
 }
 
 // Apply applies one record of the stream.
@@ -109,6 +110,7 @@
 func (w *Wallet) confirmApplied(now kcrclock.Time) {
 	applied := w.ledger.Applied(w.self)
 	w.outbox.Confirm(applied)
+	w.confirms.confirm(now, applied)
 	w.confirmRestated(applied)
 	for _, p := range sortedKeys(w.planStates) {
 		ps := w.planStates[p]
--- a/kernel/kcrbudget/loan.go
+++ b/kernel/kcrbudget/loan.go
@@ -41,6 +41,23 @@
 	Unspent kcrid.Tokens
 	Used    kcrid.Tokens // the other tokens of the plan: granted to others, lent or spent
 	Era     uint64       // era of the log in which Used was counted
+	Lacks   Lack         // what a pending loan waits for
+}
+
+// Lack is what a pending loan waits for.
+type Lack int
+
+// What a loan can wait for.
+const (
+	LacksNothing Lack = iota
+	LacksGrant        // a claim on the ledger
+	LacksBound        // a bound on the ledger that allows to lend more
+	LacksCarry        // a record of what was used before the era of the log
+)
+
+// String returns the name of the lack in logs.
+func (l Lack) String() string {
+	return [...]string{"nothing", "grant", "bound", "carry"}[l]
 }
 
 // Lend lends escrow to another holder: need tokens, and up to want if enough is
@@ -58,14 +75,14 @@
 	a := w.ledger.Account(p)
 	unspent, used := max(0, a.Available()+free), a.Used()-free
 	if w.mustCarry(p, ps) {
-		return Loan{Outcome: Pending, Unspent: unspent}
+		return Loan{Outcome: Pending, Unspent: unspent, Lacks: LacksCarry}
 	}
 	if !w.rules.Fits(free, need) {
-		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent, Used: used, Era: w.ledger.era}
+		return Loan{Outcome: w.claim(now, p, ps, need), Unspent: unspent, Used: used, Era: w.ledger.era, Lacks: LacksGrant}
 	}
 	if !w.rules.WithinBounds(ps.maxDrawn(need), w.allowance(now, ps)) {
 		w.raiseBound(now, p, ps, need)
-		return Loan{Outcome: Pending, Unspent: unspent, Used: used, Era: w.ledger.era}
+		return Loan{Outcome: Pending, Unspent: unspent, Used: used, Era: w.ledger.era, Lacks: LacksBound}
 	}
 	lent := need + max(0, min(want-need, (free-need)/lendFreeDivisor, w.allowance(now, ps)-ps.maxDrawn(need)))
 	ps.lent += lent
--- a/kernel/kcrbudget/report.go
+++ b/kernel/kcrbudget/report.go
@@ -33,6 +33,7 @@
 		Plan: string(p), Back: int64(returned), Spent: int64(ps.lastReported), Bound: bound.toEntry(),
 	}}})
 	ps.addSentBound(now, seq, bound)
+	w.confirms.sent(now, seq)
 	if returned > 0 {
 		ps.returning += returned
 		ps.returnsBySeq[seq] = returned
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -37,6 +37,7 @@
 	ready        bool          // atEnd, and the ledger shows the era of the log
 	retired      bool          // Retire was called: no more reservations
 	reportedAt   kcrclock.Time // when Tick last reported the spending
+	confirms     confirmTimer
 	planStates   map[kcrid.Plan]*walletPlanState
 	lastRecordAt map[kcrid.Incarnation]kcrclock.Time // time of the newest record of each writer
 
--- a/router/kcrhome/home.go
+++ b/router/kcrhome/home.go
@@ -65,6 +65,7 @@
 	pool      *kcrlink.Pool // to other hosts
 	server    *kcrlink.Server
 	lossLines kcrdaemon.LineLimit
+	lackLines kcrdaemon.LineLimit
 	cancel    context.CancelFunc
 	wg        conc.WaitGroup
 
@@ -242,6 +243,7 @@
 		loan := home.wallet.Lend(now, plan, need, want)
 		remaining := maxLendWait - now.Sub(start)
 		if loan.Outcome == kcrbudget.Granted || loan.Outcome == kcrbudget.BudgetExhausted || remaining <= 0 {
+			h.notePending(home, plan, now, need, loan)
 			return loan
 		}
 		home.follower.Wake()
@@ -252,6 +254,16 @@
 	}
 }
 
+// notePending logs what a loan waits for that is not made for now.
+func (h *Host) notePending(home *bucketHome, plan kcrid.Plan, now kcrclock.Time, need kcrid.Tokens, loan kcrbudget.Loan) {
+	if loan.Outcome != kcrbudget.Pending || !h.lackLines.Allow(now) {
+		return
+	}
+	holding := home.wallet.Holding(plan)
+	h.config.Logger.Info("loan pending", "plan", string(plan), "need", int64(need), "lacks", loan.Lacks.String(), "free", int64(holding.Free),
+		"left", int64(loan.Unspent), "confirm", int64(home.wallet.ConfirmTime(now)))
+}
+
 // tick runs the periodic work of the homes, and closes those that are idle.
 func (h *Host) tick() {
 	now := h.config.Clock.Now()
--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -67,7 +67,7 @@
 // homeAnswerTimeout. An answer that comes later still counts: a router that is slow
 // itself must not treat its homes as dead, nor lose the tokens that they lend.
 func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worstCase kcrid.Tokens) bool {
-	answered := make(chan bool, 1)
+	answered, asked := make(chan bool, 1), n.clock.Now()
 	n.transfers.Add(1)
 	n.wg.Go(func() {
 		defer n.transfers.Done()
@@ -78,7 +78,7 @@
 		if err != nil {
 			n.recordLoanFailure(addr, plan, need, err)
 		} else {
-			n.receiveLoan(addr, b, plan, loan, need, want, worstCase)
+			n.receiveLoan(addr, b, plan, asked, loan, need, want, worstCase)
 		}
 		answered <- err == nil
 	})
@@ -104,8 +104,8 @@
 	}
 }
 
-// receiveLoan adds a loan to the wallet and wakes the requests that wait for escrow.
-func (n *Node) receiveLoan(addr string, b *bucket, plan kcrid.Plan, loan kcrbudget.Loan, need, want, worstCase kcrid.Tokens) {
+// receiveLoan adds a loan, asked for at a time, to the wallet and wakes the requests that wait for escrow.
+func (n *Node) receiveLoan(addr string, b *bucket, plan kcrid.Plan, asked kcrclock.Time, loan kcrbudget.Loan, need, want, worstCase kcrid.Tokens) {
 	now := n.clock.Now()
 	if n.homes.recordAnswer(addr) {
 		n.logger.Info("homes answer again", "home", addr)
@@ -120,7 +120,7 @@
 	b.wallet.SetUnspent(now, plan, loan.Unspent)
 	b.wallet.NoteUsed(plan, loan.Era, loan.Used)
 	n.logger.Info("escrow", "what", "borrowed", "plan", string(plan), "holder", addr, "tokens", int64(loan.Tokens),
-		"need", int64(need), "wanted", int64(want), "left", int64(loan.Unspent), "code", loan.Outcome.String())
+		"need", int64(need), "wanted", int64(want), "left", int64(loan.Unspent), "code", loan.Outcome.String(), "ms", int64(now.Sub(asked)))
 	if loan.Tokens > 0 || loan.Outcome == kcrbudget.BudgetExhausted {
 		n.escrowChanged.Broadcast()
 	}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -112,6 +113,8 @@
 	parseRules        func([]byte) (*kcrrule.Rules, error)
 	bootClock         kcrbudget.BootClock
 	entriesReadAt     atomic.Int64 // of bootClock, when the list of upstreams was that of the store
+	configAskedAt     atomic.Int64 // of bootClock, when the store was last asked for the configuration
+	configCurrentAt   atomic.Int64 // of bootClock, when the configuration in force was known to be the newest, 0 for never
 	configUnavailable atomic.Bool  // the store does not provide the configuration
 	unreadVersions    atomic.Int64 // records that the operator's topic holds beyond those read
 	configDoubts      atomic.Int32 // peers to ask whether they have a newer configuration than the store
@@ -315,6 +318,20 @@
 // it does, the node asks its peers for it.
 func (n *Node) SetConfigUnavailable(unavailable bool) { n.configUnavailable.Store(unavailable) }
 
+// ConfigAsked records that the store is asked for the configuration.
+func (n *Node) ConfigAsked() { n.configAskedAt.Store(int64(n.bootClock.Now())) }
+
+// ConfigCurrent records that the configuration in force was the newest one when the store was last
+// asked for it.
+func (n *Node) ConfigCurrent() { n.configCurrentAt.Store(n.configAskedAt.Load()) }
+
+// configAge returns the time since the configuration in force was known to be the newest one, and
+// false if it never was. The clock counts the time in which the machine was suspended.
+func (n *Node) configAge() (age kcrclock.Duration, known bool) {
+	at := n.configCurrentAt.Load()
+	return n.bootClock.Now().Sub(kcrclock.Time(at)), at > 0
+}
+
 // RecordUnreadVersions records how many records of the operator's topic the store holds beyond
 // those that it has returned.
 func (n *Node) RecordUnreadVersions(count int64) { n.unreadVersions.Store(count) }
@@ -520,6 +537,12 @@
 		}
 		return 0
 	})
+	gauge("kcr_config_age_seconds", "Time since the configuration in force was known to be the newest one, NaN before that.", func() float64 {
+		if age, known := n.configAge(); known {
+			return age.Seconds()
+		}
+		return math.NaN()
+	})
 	gauge("kcr_config_unread", "Records of the operator's topic that the last response of the store left unread.", func() float64 { return float64(n.unreadVersions.Load()) })
 	gauge("kcr_escrow_free_tokens", "Tokens held and not reserved.", func() (sum float64) {
 		if rules := n.rules.Rules(); rules != nil {
