Gateway: nothing is denied for good while the configuration may be old

Cause: a router that has not heard from the store for seconds answered as if its configuration were the newest one. Whatever makes it late, it knows that it is. If that is more than 1.5 s ago, an unknown route or key is refused with 503 and a time to come back: the request has not run, and another router may know. 1.5 s is longer than a read is held (0.5 s), and shorter than the 2 s in which a version must be in force, so a version that comes late is never denied.

--- a/router/kcrgateway/gateway.go
+++ b/router/kcrgateway/gateway.go
@@ -87,6 +87,9 @@
 	// FindOrigin returns the version that began the stream of such a request, on this or another
 	// router. It may block for a moment.
 	FindOrigin func(request string) (version string, known bool)
+	// RulesAreCurrent reports whether Rules are those of a moment ago. While they are not, nothing is
+	// denied for good.
+	RulesAreCurrent func() bool
 	// UpstreamsAreCurrent reports whether the list of upstreams is that of a moment ago. While it is
 	// not, upstreams are asked for reports.
 	UpstreamsAreCurrent func() bool
--- a/router/kcrgateway/gateway_test.go
+++ b/router/kcrgateway/gateway_test.go
@@ -248,7 +248,7 @@
 			return true, 0
 		},
 		AwaitCrashes: func() {}, NoteOrigin: func(string, string) {}, FindOrigin: func(string) (string, bool) { return "", false },
-		UpstreamsAreCurrent: func() bool { return true }, IsEmptied: func(kcrid.Zone) bool { return false }, OnlyEmptied: func(kcrid.Service, string) bool { return false },
+		RulesAreCurrent: func() bool { return true }, UpstreamsAreCurrent: func() bool { return true }, IsEmptied: func(kcrid.Zone) bool { return false }, OnlyEmptied: func(kcrid.Service, string) bool { return false },
 		OnLeaving: func(kcrid.Incarnation) {}, OnCrash: func(kcrcrash.Crash) {}, OnContentCleared: func(kcrid.ContentHash) {},
 		PartSuspects: kcrcrash.NewPartSuspects(3), OnPartLevels: func([]kcrcrash.PartLevel) {},
 	})
--- a/router/kcrgateway/request.go
+++ b/router/kcrgateway/request.go
@@ -125,11 +125,11 @@
 	}
 	x.route = x.rules.Match(x.head.Get("Host"), x.head.Target)
 	if x.route == nil {
-		return x.refuse(statusNotFound, "no route", 0)
+		return x.deny(statusNotFound, "no route")
 	}
 	if !x.route.Anonymous && len(x.rules.Teams) > 0 {
 		if x.team = x.rules.TeamByKey(x.head.Get(names.APIKey)); x.team == nil {
-			return x.refuse(statusUnauthorized, "the key is not known", 0)
+			return x.deny(statusUnauthorized, "the key is not known")
 		}
 	}
 	if x.id == "" {
@@ -138,6 +138,15 @@
 	return true
 }
 
+// deny refuses a request that the configuration does not allow: for good if that is the newest one,
+// else for now, since a newer one may allow it, and another router may have that.
+func (x *exchange) deny(status int, why string) bool {
+	if !x.gateway.config.RulesAreCurrent() {
+		return x.refuse(statusUnavailable, why+", and the configuration may be old", retryAfterShort)
+	}
+	return x.refuse(status, why, 0)
+}
+
 // readDeadlineAndUsage sets the deadline and the service and, if the service
 // counts tokens, reads the declared usage.
 func (x *exchange) readDeadlineAndUsage() bool {
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -194,7 +194,7 @@
 		Rules: n.rules, Upstreams: n.table, Crashes: n.crashes, Retries: c.Retries, Machine: c.Machine, RouterCount: n.knownRouters, OnLeaving: n.reportLeaving, OnCrash: n.reportCrash, OnContentCleared: n.reportCleared, AwaitCrashes: n.awaitCrashes,
 		PartSuspects: n.partSuspects, OnPartLevels: n.reportParts, TakePermit: n.TakePermit, NoteOrigin: n.NoteOrigin, FindOrigin: n.FindOrigin,
 		IsEmptied: n.zones.orders.IsEmptied, OnlyEmptied: n.zones.isShut,
-		UpstreamsAreCurrent: n.upstreamsAreCurrent, Report: c.Report,
+		RulesAreCurrent: n.configIsCurrent, UpstreamsAreCurrent: n.upstreamsAreCurrent, Report: c.Report,
 		LinkBytesPerSecond: c.LinkBytes,
 		Budget:             kcrgateway.TeamBudget{Reserve: n.Reserve, Settle: n.Settle, StoreIsLost: n.fleet.StoreIsLost},
 	})
@@ -332,6 +332,16 @@
 	return n.bootClock.Now().Sub(kcrclock.Time(at)), at > 0
 }
 
+// maxConfigAge is the age up to which the configuration in force counts as the newest one. It is longer
+// than the store holds a read, and shorter than the time in which a version must be in force.
+const maxConfigAge = 1500 * kcrclock.Millisecond
+
+// configIsCurrent reports whether the configuration in force was the newest one a moment ago.
+func (n *Node) configIsCurrent() bool {
+	age, known := n.configAge()
+	return known && age <= maxConfigAge
+}
+
 // RecordUnreadVersions records how many records of the operator's topic the store holds beyond
 // those that it has returned.
 func (n *Node) RecordUnreadVersions(count int64) { n.unreadVersions.Store(count) }
