--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -32,6 +32,7 @@
 	"kingcuprun.example/kernel/kcrrule"
 	"kingcuprun.example/link/kcrdaemon"
 	"kingcuprun.example/link/kcrlink"
+	"kingcuprun.example/link/kcrtransfer"
 	"kingcuprun.example/router/kcrgateway"
 )
 
@@ -112,13 +113,14 @@
 	server            *kcrlink.Server // for other routers, nil without a control address
 	parseRules        func([]byte) (*kcrrule.Rules, error)
 	bootClock         kcrbudget.BootClock
-	entriesReadAt     atomic.Int64 // of bootClock, when the list of upstreams was that of the store
-	configAskedAt     atomic.Int64 // of bootClock, when the store was last asked for the configuration
-	configCurrentAt   atomic.Int64 // of bootClock, when the configuration in force was known to be the newest, 0 for never
-	configUnavailable atomic.Bool  // the store does not provide the configuration
-	unreadVersions    atomic.Int64 // records that the operator's topic holds beyond those read
-	configDoubts      atomic.Int32 // peers to ask whether they have a newer configuration than the store
-	bansLost          atomic.Bool  // the peer stream may lack records of bans
+	entriesReadAt     atomic.Int64          // of bootClock, when the list of upstreams was that of the store
+	fetches           *kcrtransfer.Patience // requests to peers for the configuration
+	configAskedAt     atomic.Int64          // of bootClock, when the store was last asked for the configuration
+	configCurrentAt   atomic.Int64          // of bootClock, when the configuration in force was known to be the newest, 0 for never
+	configUnavailable atomic.Bool           // the store does not provide the configuration
+	unreadVersions    atomic.Int64          // records that the operator's topic holds beyond those read
+	configDoubts      atomic.Int32          // peers to ask whether they have a newer configuration than the store
+	bansLost          atomic.Bool           // the peer stream may lack records of bans
 	stopping          atomic.Bool
 	updating          sync.Mutex  // held while upstreams are passed on
 	entriesChanged    atomic.Bool // entries were applied that updateUpstreams has not passed on
@@ -176,6 +178,7 @@
 		lostSessions:  prometheus.NewCounter(prometheus.CounterOpts{Name: "kcr_sessions_lost_total", Help: "Sessions of other processes that lost their place or got none."}),
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
+		fetches:       kcrtransfer.NewPatience(longestFetchTimeout),
 		coldBounds:    c.ColdBounds,
 		parseRules:    c.ParseRules,
 		bootClock:     c.BootClock,
--- a/router/kcrnode/peers.go
+++ b/router/kcrnode/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"strconv"
 	"time"
 
@@ -37,8 +39,10 @@
 	// doubtedFetches is how many peers are asked for a newer configuration after the start, and
 	// when the store has come back from an older copy.
 	doubtedFetches = 3
-	// fetchTimeout bounds one request to a peer.
-	fetchTimeout = 300 * time.Millisecond
+	// fetchTimeout bounds one request to a peer, until the reply begins. It grows to as much as
+	// longestFetchTimeout while requests take longer.
+	fetchTimeout        = 300 * time.Millisecond
+	longestFetchTimeout = 2400 * time.Millisecond
 )
 
 // handlePeerRequest answers a request of another router.
@@ -165,13 +169,19 @@
 
 // fetchFromPeer asks one peer for its state and applies what is newer.
 func (n *Node) fetchFromPeer(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, n.fetches.Timeout(fetchTimeout))
 	defer cancel()
 	reply, err := n.pool.Call(ctx, addr, &kcrwire.Request{Kind: &kcrwire.Request_Lists{Lists: &kcrwire.Lists{At: n.configVersion()}}})
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		n.fetches.RecordTimeout()
+	}
 	if err != nil {
-		n.logger.Info("configuration not learned from a peer", "peer", addr, "err", err.Error())
+		n.logger.Info("configuration not learned from a peer", "peer", addr, "err", err.Error(), "ms", time.Since(began).Milliseconds())
 		return
 	}
+	n.fetches.RecordAnswer(time.Since(began))
 	n.mergeZones(reply.GetListed().GetZones(), addr)
 	if len(reply.GetListed().GetState()) == 0 {
 		return
