Transfer: a large message over a busy link may pause for 1.2 s

The router with a full link got a version 5.2 s late although its bytes flowed. Cause: a transfer that made no progress for 600 ms was given up, and all of it begun again. On a link that callers fill, the packets of one connection come in gaps of that size. Change: MaxPause is 1.2 s, as the longest timeout of a read. A peer that falls silent in a transfer is noticed that much later; MinRate still bounds one that sends a little.

--- a/link/kcrtransfer/conn.go
+++ b/link/kcrtransfer/conn.go
@@ -14,7 +14,7 @@
 	// MinRate is the average rate, in bytes per second, below which a transfer is given up.
 	MinRate = 64 << 10
 	// MaxPause is the longest pause within a transfer.
-	MaxPause = 600 * time.Millisecond
+	MaxPause = 1200 * time.Millisecond
 )
 
 // Conn is a connection whose read deadline bounds the wait for the first bytes of a message;
