Budgets: bounds and grants cover the time that a slow log takes

Cause: a home lends no more than a bound on the log allows, 0.25 s of demand and one request, until the next one is read back, and claims grants for 2 s of demand, at most 3% of what is left. Both take for granted that the log confirms within some 30 ms. Class: a fixed amount ahead for a delay that is not fixed. Change: a wallet measures how long its records take (a record under way counts as soon as it takes longer than usual). Bounds cover twice that, up to 2 s of demand, and grants three times that, up to 4 s and a quarter of what is left. While the log is quick nothing changes: TestStranded shows the figures of before. What a home that dies while the store is slow takes out of use grows with it.

--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -11,15 +11,16 @@
 
 // PlanView is the state of one plan at one holder and the input of a policy.
 type PlanView struct {
-	WorstCase     kcrid.Tokens // worst-case size of the request that is waiting, 0 if none is
-	SpendRate     float64      // tokens spent here per second, smoothed
-	RateUnknown   bool         // demand has not been observed for long enough
-	NoDemand      bool         // no demand was seen here, and no request waits
-	DemandShare   float64      // fraction of the plan's total demand that arrives here, 0 to 1
-	Free          kcrid.Tokens // granted to this holder, neither reserved nor spent
-	Available     kcrid.Tokens // on the ledger, not granted to any holder
-	OthersUnspent kcrid.Tokens // granted to other holders and not known to be spent
-	Prepaid       kcrid.Tokens // the plan's whole budget
+	WorstCase     kcrid.Tokens      // worst-case size of the request that is waiting, 0 if none is
+	SpendRate     float64           // tokens spent here per second, smoothed
+	RateUnknown   bool              // demand has not been observed for long enough
+	NoDemand      bool              // no demand was seen here, and no request waits
+	DemandShare   float64           // fraction of the plan's total demand that arrives here, 0 to 1
+	Free          kcrid.Tokens      // granted to this holder, neither reserved nor spent
+	Available     kcrid.Tokens      // on the ledger, not granted to any holder
+	OthersUnspent kcrid.Tokens      // granted to other holders and not known to be spent
+	Prepaid       kcrid.Tokens      // the plan's whole budget
+	ConfirmTime   kcrclock.Duration // that the log takes to bring a record into effect
 }
 
 // Policy decides how much escrow a holder claims, returns and may spend.
@@ -85,14 +86,24 @@
 	BoundDelay     kcrclock.Duration // time after which a bound grows; a process that is killed is back before it
 	BoundGrowth    float64           // growth of a bound, as a multiple of the demand rate
 	MinBoundGrowth float64           // minimum growth of a bound per second, as a fraction of the prepaid tokens
+	SlowHorizon    kcrclock.Duration // longest duration of demand that is held since the log is slow
+	MaxSlowShare   float64           // maximum fraction of the unspent tokens that is held since the log is slow
 }
 
+// How many times that a record takes to come into effect a bound and a grant must cover: until the
+// record itself is in effect, and then until the one that follows it is. A grant also has to bear
+// that the demand is uneven.
+const (
+	boundConfirms = 2
+	grantConfirms = 3
+)
+
 // ShortOutageConfig returns a configuration for log outages of a few seconds and for
 // a power loss of all machines. Larger values lose more tokens in a power loss;
 // smaller values make callers wait. What is held becomes less as a budget runs out, since
 // the end of the budget is missing what a power loss takes.
 func ShortOutageConfig() OutageConfig {
-	return OutageConfig{Horizon: 2 * kcrclock.Second, MaxShare: 0.03, InitialShare: 0.02, InitialRoom: 0.002, BoundHorizon: 250 * kcrclock.Millisecond, BoundDelay: kcrclock.Second, BoundGrowth: 2, MinBoundGrowth: 0.004}
+	return OutageConfig{Horizon: 2 * kcrclock.Second, MaxShare: 0.03, InitialShare: 0.02, InitialRoom: 0.002, BoundHorizon: 250 * kcrclock.Millisecond, BoundDelay: kcrclock.Second, BoundGrowth: 2, MinBoundGrowth: 0.004, SlowHorizon: 4 * kcrclock.Second, MaxSlowShare: 0.25}
 }
 
 // keepHorizon is the duration of demand that a holder keeps when it returns escrow for
@@ -119,7 +130,9 @@
 			case v.RateUnknown:
 				return kcrid.Tokens(o.InitialShare * unspent)
 			}
-			return kcrid.Tokens(min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*unspent*max(v.DemandShare, minDemandShare)))
+			share := unspent * max(v.DemandShare, minDemandShare)
+			slow := min(v.SpendRate*min(grantConfirms*v.ConfirmTime, o.SlowHorizon).Seconds(), o.MaxSlowShare*share)
+			return kcrid.Tokens(max(slow, min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*share)))
 		},
 		ReturnForOthers: func(v PlanView, unmet kcrid.Tokens) kcrid.Tokens {
 			keep := kcrid.Tokens(v.SpendRate * keepHorizon.Seconds())
@@ -130,8 +143,9 @@
 			if v.RateUnknown {
 				initial = kcrid.Tokens(o.InitialRoom * float64(v.Prepaid))
 			}
+			horizon := max(o.BoundHorizon, min(boundConfirms*v.ConfirmTime, o.Horizon))
 			return BoundTerms{
-				Room:  max(initial, kcrid.Tokens(v.SpendRate*o.BoundHorizon.Seconds())) + v.WorstCase,
+				Room:  max(initial, kcrid.Tokens(v.SpendRate*horizon.Seconds())) + v.WorstCase,
 				Rate:  max(initial, kcrid.Tokens(o.BoundGrowth*v.SpendRate+o.MinBoundGrowth*float64(v.Prepaid))),
 				Delay: o.BoundDelay,
 			}
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -298,7 +298,7 @@
 	}
 	return PlanView{
 		WorstCase: worstCase, SpendRate: ps.rate, RateUnknown: ps.rateUnknown(now), NoDemand: ps.noDemand() && worstCase == 0, DemandShare: share, Free: w.free(p, ps),
-		Available: a.Available(), OthersUnspent: w.unspentByLiveHolders(now, p), Prepaid: a.Prepaid,
+		Available: a.Available(), OthersUnspent: w.unspentByLiveHolders(now, p), Prepaid: a.Prepaid, ConfirmTime: w.confirms.time(now),
 	}
 }
 
@@ -388,7 +388,7 @@
 	h := xxhash.New()
 	_, state, err := w.ledger.Snapshot()
 	_, _ = h.Write(state)
-	_, _ = fmt.Fprint(h, err, w.ready, w.atEnd, w.retired, w.reportedAt, w.lastRecordAt, w.era, w.queuedEra, w.restateSeq, w.waitUntil)
+	_, _ = fmt.Fprint(h, err, w.ready, w.atEnd, w.retired, w.reportedAt, w.lastRecordAt, w.era, w.queuedEra, w.restateSeq, w.waitUntil, w.confirms)
 	records, last := w.outbox.Batch(math.MaxInt)
 	for _, r := range records {
 		_, _ = h.Write(r)
