Budgets: claims and loans cover all that waits

Some teams were refused with 503 'budget pending' all the while the store was slow. Cause: demand is measured by what is granted. A team that once lacks escrow seems to want little, so the next claims and loans are small, and it stays short; a loan covers one of the requests that wait at the router. Class: demand measured by what was served. Both tests fail before: a want of 100 where five requests of 100 wait; a target of 300 where loans of 5,000 wait. Change: requests that wait at a router are counted in the loan that it wants, and loans that wait at a home in the target while the log is slow.

--- a/kernel/kcrbudget/loan.go
+++ b/kernel/kcrbudget/loan.go
@@ -90,7 +90,7 @@
 	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent, Used: used + lent, Era: w.ledger.era}
 }
 
-// AddWaiting adds tokens that a loan waits for, so that the next claim covers all loans
+// AddWaiting adds tokens that a request or a loan waits for, so that the next claim or loan covers all
 // that wait. The caller takes them back with a negative amount.
 func (w *Wallet) AddWaiting(p kcrid.Plan, tokens kcrid.Tokens) {
 	w.mu.Lock()
@@ -116,14 +116,15 @@
 }
 
 // Shortfall returns how many tokens a request lacks (need), and that number plus what
-// is missing to cover the demand of borrowHorizon (want).
+// is missing to cover the other requests that wait and the demand of borrowHorizon (want).
 func (w *Wallet) Shortfall(now kcrclock.Time, p kcrid.Plan, worstCase kcrid.Tokens) (need, want kcrid.Tokens) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ps := w.planState(p)
 	usable := min(w.free(p, ps), w.allowance(now, ps)+ps.borrowed-ps.spent-ps.lent-ps.reserved)
 	need = max(0, worstCase-usable)
-	return need, need + max(0, ps.nearDemand()-max(0, usable-worstCase))
+	others := max(0, ps.waiting-worstCase)
+	return need, need + max(0, others+ps.nearDemand()-max(0, usable-worstCase))
 }
 
 // nearDemand returns the expected demand of borrowHorizon, limited to
--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -12,6 +12,7 @@
 // PlanView is the state of one plan at one holder and the input of a policy.
 type PlanView struct {
 	WorstCase     kcrid.Tokens      // worst-case size of the request that is waiting, 0 if none is
+	Waiting       kcrid.Tokens      // needed by all requests and loans that wait here
 	SpendRate     float64           // tokens spent here per second, smoothed
 	RateUnknown   bool              // demand has not been observed for long enough
 	NoDemand      bool              // no demand was seen here, and no request waits
@@ -131,7 +132,7 @@
 				return kcrid.Tokens(o.InitialShare * unspent)
 			}
 			share := unspent * max(v.DemandShare, minDemandShare)
-			slow := min(v.SpendRate*min(grantConfirms*v.ConfirmTime, o.SlowHorizon).Seconds(), o.MaxSlowShare*share)
+			slow := min(v.SpendRate*min(grantConfirms*v.ConfirmTime, o.SlowHorizon).Seconds()+float64(v.Waiting), o.MaxSlowShare*share)
 			return kcrid.Tokens(max(slow, min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*share)))
 		},
 		ReturnForOthers: func(v PlanView, unmet kcrid.Tokens) kcrid.Tokens {
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -60,7 +60,7 @@
 	lastReported      kcrid.Tokens            // drawn tokens in the newest report
 	maxReported       kcrid.Tokens            // maximum of lastReported over all reports
 	sentBounds        []sentBound             // bounds that may be in force, oldest first
-	waiting           kcrid.Tokens            // needed by the loans that wait for escrow
+	waiting           kcrid.Tokens            // needed by the requests and loans that wait for escrow
 	raiseSeq          uint64                  // sequence number of the report that raises the bound, 0 if none is in flight
 	claimSeq          uint64                  // sequence number of the claim in flight, 0 if none
 	unmetAt           kcrclock.Time           // when the result of the newest claim was read
@@ -297,7 +297,7 @@
 		share = ps.rate / (ps.rate + ps.othersRate)
 	}
 	return PlanView{
-		WorstCase: worstCase, SpendRate: ps.rate, RateUnknown: ps.rateUnknown(now), NoDemand: ps.noDemand() && worstCase == 0, DemandShare: share, Free: w.free(p, ps),
+		WorstCase: worstCase, Waiting: ps.waiting, SpendRate: ps.rate, RateUnknown: ps.rateUnknown(now), NoDemand: ps.noDemand() && worstCase == 0, DemandShare: share, Free: w.free(p, ps),
 		Available: a.Available(), OthersUnspent: w.unspentByLiveHolders(now, p), Prepaid: a.Prepaid, ConfirmTime: w.confirms.time(now),
 	}
 }
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -97,6 +97,8 @@
 			wait := longestWait()
 			timer, waitEnds = time.NewTimer(wait.Std()), now.Add(wait)
 			defer timer.Stop()
+			b.wallet.AddWaiting(plan, worstCase)
+			defer b.wallet.AddWaiting(plan, -worstCase)
 		}
 		if now >= waitEnds {
 			return outcome
