Loans: a router waits for a home as long as its calls take

Cause: a router asked the next home if one had not answered within 250 ms. On a full link each call takes longer, so crowded routers make one home after the other open, each of which reads the ledger and claims grants of its own: an append of each takes 0.18 s of the one stream, and all wait for all. Class: as of the timeouts to the store: a slow answer taken for a failure. Change: the time for an answer is twice what homes usually take, doubles with each call in a row that is overdue, and is at most the second for which an answer counts. Late answers count as well, so a slow router learns its own pace.

--- a/router/kcrnode/loan.go
+++ b/router/kcrnode/loan.go
@@ -64,8 +64,9 @@
 }
 
 // borrowFrom asks one home and reports whether it answered within
-// homeAnswerTimeout. An answer that comes later still counts: a router that is slow
-// itself must not treat its homes as dead, nor lose the tokens that they lend.
+// homeAnswerTimeout, or a longer time if homes take that long. An answer that comes later still
+// counts: a router that is slow itself must not treat its homes as dead, nor lose the tokens that
+// they lend.
 func (n *Node) borrowFrom(addr string, b *bucket, plan kcrid.Plan, need, want, worstCase kcrid.Tokens) bool {
 	answered, asked := make(chan bool, 1), n.clock.Now()
 	n.transfers.Add(1)
@@ -78,6 +79,7 @@
 		if err != nil {
 			n.recordLoanFailure(addr, plan, need, err)
 		} else {
+			n.loanCalls.RecordAnswer(n.clock.Now().Sub(asked).Std())
 			n.receiveLoan(addr, b, plan, asked, loan, need, want, worstCase)
 		}
 		answered <- err == nil
@@ -85,7 +87,8 @@
 	select {
 	case ok := <-answered:
 		return ok
-	case <-time.After(homeAnswerTimeout):
+	case <-time.After(n.loanCalls.Timeout(homeAnswerTimeout)):
+		n.loanCalls.RecordTimeout()
 		n.homes.recordSlow(n.clock.Now(), addr)
 		return false
 	}
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -115,6 +115,7 @@
 	bootClock         kcrbudget.BootClock
 	entriesReadAt     atomic.Int64          // of bootClock, when the list of upstreams was that of the store
 	fetches           *kcrtransfer.Patience // requests to peers for the configuration
+	loanCalls         *kcrtransfer.Patience
 	configAskedAt     atomic.Int64          // of bootClock, when the store was last asked for the configuration
 	configCurrentAt   atomic.Int64          // of bootClock, when the configuration in force was known to be the newest, 0 for never
 	configUnavailable atomic.Bool           // the store does not provide the configuration
@@ -179,6 +180,7 @@
 		peers:         kcrpeer.New(c.Self, c.ControlAddr),
 		pool:          kcrlink.NewPool(),
 		fetches:       kcrtransfer.NewPatience(longestFetchTimeout),
+		loanCalls:     kcrtransfer.NewPatience(homeCallTimeout),
 		coldBounds:    c.ColdBounds,
 		parseRules:    c.ParseRules,
 		bootClock:     c.BootClock,
