--- a/kernel/kcrbudget/wallet_test.go
+++ b/kernel/kcrbudget/wallet_test.go
@@ -30,7 +30,7 @@
 // longOutages returns a configuration with a long horizon, so that the schedules
 // spend much and a fault has many chances to overspend.
 func longOutages() kcrbudget.OutageConfig {
-	return kcrbudget.OutageConfig{Horizon: 9 * kcrclock.Second, MaxShare: 0.8, InitialShare: 0.05, InitialRoom: 0.05, BoundHorizon: 600 * kcrclock.Millisecond, BoundGrowth: 1.7, MinBoundGrowth: 0.004}
+	return kcrbudget.OutageConfig{Horizon: 9 * kcrclock.Second, MaxShare: 0.8, InitialShare: 0.05, InitialRoom: 0.05, BoundHorizon: 600 * kcrclock.Millisecond, BoundGrowth: 1.7, MinBoundGrowth: 0.004, SlowHorizon: 18 * kcrclock.Second, MaxSlowShare: 0.9}
 }
 
 // run is a request that has not ended.
