--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -91,9 +91,9 @@
 	MaxSlowShare   float64           // maximum fraction of the unspent tokens that is held since the log is slow
 }
 
-// How many times that a record takes to come into effect a bound and a grant must cover: until the
-// record itself is in effect, and then until the one that follows it is. A grant also has to bear
-// that the demand is uneven.
+// A bound covers the demand of boundConfirms times PlanView.ConfirmTime: until its own record is in
+// effect, and then until that of the next bound is. A grant covers grantConfirms times that, since
+// demand is uneven.
 const (
 	boundConfirms = 2
 	grantConfirms = 3
@@ -132,8 +132,10 @@
 				return kcrid.Tokens(o.InitialShare * unspent)
 			}
 			share := unspent * max(v.DemandShare, minDemandShare)
-			slow := min(v.SpendRate*min(grantConfirms*v.ConfirmTime, o.SlowHorizon).Seconds()+float64(v.Waiting), o.MaxSlowShare*share)
-			return kcrid.Tokens(max(slow, min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*share)))
+			usual := min(v.SpendRate*o.Horizon.Seconds(), o.MaxShare*share)
+			cover := min(grantConfirms*v.ConfirmTime, o.SlowHorizon)
+			slow := min(v.SpendRate*cover.Seconds()+float64(v.Waiting), o.MaxSlowShare*share)
+			return kcrid.Tokens(max(usual, slow))
 		},
 		ReturnForOthers: func(v PlanView, unmet kcrid.Tokens) kcrid.Tokens {
 			keep := kcrid.Tokens(v.SpendRate * keepHorizon.Seconds())
--- a/router/kcrnode/node.go
+++ b/router/kcrnode/node.go
@@ -115,13 +115,13 @@
 	bootClock         kcrbudget.BootClock
 	entriesReadAt     atomic.Int64          // of bootClock, when the list of upstreams was that of the store
 	fetches           *kcrtransfer.Patience // requests to peers for the configuration
-	loanCalls         *kcrtransfer.Patience
-	configAskedAt     atomic.Int64 // of bootClock, when the store was last asked for the configuration
-	configCurrentAt   atomic.Int64 // of bootClock, when the configuration in force was known to be the newest, 0 for never
-	configUnavailable atomic.Bool  // the store does not provide the configuration
-	unreadVersions    atomic.Int64 // records that the operator's topic holds beyond those read
-	configDoubts      atomic.Int32 // peers to ask whether they have a newer configuration than the store
-	bansLost          atomic.Bool  // the peer stream may lack records of bans
+	loanCalls         *kcrtransfer.Patience // calls of homes for loans
+	configAskedAt     atomic.Int64          // of bootClock, when the store was last asked for the configuration
+	configCurrentAt   atomic.Int64          // of bootClock, when the configuration in force was known to be the newest, 0 for never
+	configUnavailable atomic.Bool           // the store does not provide the configuration
+	unreadVersions    atomic.Int64          // records that the operator's topic holds beyond those read
+	configDoubts      atomic.Int32          // peers to ask whether they have a newer configuration than the store
+	bansLost          atomic.Bool           // the peer stream may lack records of bans
 	stopping          atomic.Bool
 	updating          sync.Mutex  // held while upstreams are passed on
 	entriesChanged    atomic.Bool // entries were applied that updateUpstreams has not passed on
