Budgets: a router claims nothing for requests that wait while a home lends

So a router that followed the ledger claimed by itself while homes answered, before all routers had told what they know of the lost seconds; a home waits for that. Change: requests that wait count in loans only (AddUnserved). A router without homes holds 2 s of demand in a slow log too, as it did.

--- a/kernel/kcrbudget/loan.go
+++ b/kernel/kcrbudget/loan.go
@@ -90,7 +90,7 @@
 	return Loan{Tokens: lent, Outcome: Granted, Unspent: unspent - lent, Used: used + lent, Era: w.ledger.era}
 }
 
-// AddWaiting adds tokens that a request or a loan waits for, so that the next claim or loan covers all
+// AddWaiting adds tokens that a loan waits for, so that the next claim covers all loans
 // that wait. The caller takes them back with a negative amount.
 func (w *Wallet) AddWaiting(p kcrid.Plan, tokens kcrid.Tokens) {
 	w.mu.Lock()
@@ -98,6 +98,15 @@
 	w.planState(p).waiting += tokens
 }
 
+// AddUnserved adds tokens that a request of a borrower waits for, so that the next loan covers all that
+// wait. They are no reason for a claim: after a restore of the log, only a lender knows whether others
+// have told what they used. The caller takes them back with a negative amount.
+func (w *Wallet) AddUnserved(p kcrid.Plan, tokens kcrid.Tokens) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.planState(p).unserved += tokens
+}
+
 // AddBorrowed adds tokens that another holder has lent, or whose return to the lender
 // was not sent.
 func (w *Wallet) AddBorrowed(p kcrid.Plan, tokens kcrid.Tokens) {
@@ -123,7 +132,7 @@
 	ps := w.planState(p)
 	usable := min(w.free(p, ps), w.allowance(now, ps)+ps.borrowed-ps.spent-ps.lent-ps.reserved)
 	need = max(0, worstCase-usable)
-	others := max(0, ps.waiting-worstCase)
+	others := max(0, ps.unserved-worstCase)
 	return need, need + max(0, others+ps.nearDemand()-max(0, usable-worstCase))
 }
 
--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -12,7 +12,7 @@
 // PlanView is the state of one plan at one holder and the input of a policy.
 type PlanView struct {
 	WorstCase     kcrid.Tokens      // worst-case size of the request that is waiting, 0 if none is
-	Waiting       kcrid.Tokens      // needed by all requests and loans that wait here
+	Waiting       kcrid.Tokens      // needed by the loans that wait here
 	SpendRate     float64           // tokens spent here per second, smoothed
 	RateUnknown   bool              // demand has not been observed for long enough
 	NoDemand      bool              // no demand was seen here, and no request waits
@@ -116,7 +116,7 @@
 // log more often than homes are, and small budgets cover few requests.
 func NoHomeOutageConfig() OutageConfig {
 	o := ShortOutageConfig()
-	o.MaxShare = 0.8
+	o.MaxShare, o.SlowHorizon = 0.8, o.Horizon
 	return o
 }
 
--- a/kernel/kcrbudget/wallet.go
+++ b/kernel/kcrbudget/wallet.go
@@ -60,7 +60,8 @@
 	lastReported      kcrid.Tokens            // drawn tokens in the newest report
 	maxReported       kcrid.Tokens            // maximum of lastReported over all reports
 	sentBounds        []sentBound             // bounds that may be in force, oldest first
-	waiting           kcrid.Tokens            // needed by the requests and loans that wait for escrow
+	waiting           kcrid.Tokens            // needed by the loans that wait for escrow
+	unserved          kcrid.Tokens            // needed by the requests that wait for a loan
 	raiseSeq          uint64                  // sequence number of the report that raises the bound, 0 if none is in flight
 	claimSeq          uint64                  // sequence number of the claim in flight, 0 if none
 	unmetAt           kcrclock.Time           // when the result of the newest claim was read
--- a/router/kcrnode/bucket.go
+++ b/router/kcrnode/bucket.go
@@ -97,8 +97,8 @@
 			wait := longestWait()
 			timer, waitEnds = time.NewTimer(wait.Std()), now.Add(wait)
 			defer timer.Stop()
-			b.wallet.AddWaiting(plan, worstCase)
-			defer b.wallet.AddWaiting(plan, -worstCase)
+			b.wallet.AddUnserved(plan, worstCase)
+			defer b.wallet.AddUnserved(plan, -worstCase)
 		}
 		if now >= waitEnds {
 			return outcome
