Budgets: the time that records take begins anew with an era of the log

Cause: a record under way in an outage counts as one that takes long, so bounds and grants were those of a slow log when the store came back, when nobody knows yet what the lost seconds took. Change: BeginEra forgets the time; TestConfirmTimeBeginsAnewWithEra fails before.

--- a/kernel/kcrbudget/restore.go
+++ b/kernel/kcrbudget/restore.go
@@ -99,6 +99,7 @@
 	old := w.ledger
 	w.ready, w.atEnd, w.ledger = false, false, NewLedger(old.rules)
 	w.outbox.Clear()
+	w.confirms = confirmTimer{} // the records under way are lost, and an outage says nothing of the next era
 	w.queuedEra = era
 	w.restateSeq = w.outbox.Enqueue(&kcrentry.Entry{Kind: &kcrentry.Entry_Era{Era: &kcrentry.Era{Number: era}}})
 	if knows {
