Transfer: what exceeds the largest message is given up at once

Cause: a message that is too large was given up a pause after it had become so, and has doubled the longest pause. Change: the read deadline passes then.

--- a/link/kcrtransfer/conn.go
+++ b/link/kcrtransfer/conn.go
@@ -59,7 +59,7 @@
 	}
 	c.received += n
 	if c.received > c.maxMessage {
-		return n, nil
+		return n, c.Conn.SetReadDeadline(now)
 	}
 	latest := c.began.Add(MaxPause + time.Duration(c.received)*time.Second/MinRate)
 	if next := now.Add(MaxPause); next.Before(latest) {
--- a/link/kcrtransfer/conn_test.go
+++ b/link/kcrtransfer/conn_test.go
@@ -36,7 +36,7 @@
 		{"falls silent", 0, chunk, time.Hour, 2, false, kcrtransfer.MaxPause},
 		{"falls silent after much", 0, 512 << 10, time.Hour, 2, false, kcrtransfer.MaxPause},
 		{"a few bytes now and then", 0, 10, 50 * time.Millisecond, forever, false, kcrtransfer.MaxPause},
-		{"no end", 0, chunk, 0, forever, false, 2 * kcrtransfer.MaxPause},
+		{"no end", 0, chunk, 0, forever, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
