--- a/kernel/kcrbudget/policy.go
+++ b/kernel/kcrbudget/policy.go
@@ -87,8 +87,8 @@
 	BoundDelay     kcrclock.Duration // time after which a bound grows; a process that is killed is back before it
 	BoundGrowth    float64           // growth of a bound, as a multiple of the demand rate
 	MinBoundGrowth float64           // minimum growth of a bound per second, as a fraction of the prepaid tokens
-	SlowHorizon    kcrclock.Duration // longest duration of demand that is held since the log is slow
-	MaxSlowShare   float64           // maximum fraction of the unspent tokens that is held since the log is slow
+	SlowHorizon    kcrclock.Duration // longest duration of demand that is held while the log is slow
+	MaxSlowShare   float64           // maximum fraction of the unspent tokens that is held while the log is slow
 }
 
 // A bound covers the demand of boundConfirms times PlanView.ConfirmTime: until its own record is in
